--- a/packages/load/src/benchmarks/forwarding.ts
+++ b/packages/load/src/benchmarks/forwarding.ts
@@ -1,5 +1,5 @@
-import { createLogger, MonotonicClock, type AnswerFrame, type StatementRequest } from '@camphorpitch/wire'
-import { DatabaseService, RemoteStatements, StatementServer, STATEMENTS_SLICE, WsPeerNetwork, parseStatementMessage } from '@camphorpitch/proxy'
+import { createLogger, MonotonicClock, WsPeerNetwork, type AnswerFrame, type StatementRequest } from '@camphorpitch/wire'
+import { DatabaseService, RemoteStatements, StatementServer, STATEMENTS_SLICE, parseStatementMessage } from '@camphorpitch/proxy'
 
 const WARM_UP = 2_000
 const STATEMENTS = 20_000
--- a/packages/load/src/benchmarks/limits.ts
+++ b/packages/load/src/benchmarks/limits.ts
@@ -2,10 +2,9 @@
 import { decideLimits, type LimitInput, type LimitState } from '../../../proxy/src/limits/decide-limits.ts'
 import type { LimitEffect } from '../../../proxy/src/limits/effects.ts'
 import { hashName } from '../../../proxy/src/membership/rendezvous-hash.ts'
-import type { Decide } from '../../../proxy/src/runtime/decision.ts'
 import { VirtualFleet } from '../../../proxy/src/limits/virtual-fleet.ts'
 import { computeLoadResult, startMovingLoad } from '../../../proxy/src/limits/virtual-load.ts'
-import type { Rate } from '@camphorpitch/wire'
+import type { Decide, Rate } from '@camphorpitch/wire'
 import { pack } from 'msgpackr'
 
 /**
--- a/packages/proxy/src/app.ts
+++ b/packages/proxy/src/app.ts
@@ -1,4 +1,4 @@
-import { MonotonicClock, ObjectClient, PEER_PROTOCOL_VERSION, type Clock, type Database, type Hello, type Logger } from '@camphorpitch/wire'
+import { type Clock, type Database, type Hello, type Logger, MonotonicClock, ObjectClient, PEER_PROTOCOL_VERSION, WsPeerNetwork } from '@camphorpitch/wire'
 import { start, stop, type ActorSystemRef } from 'nact'
 import type { Configuration } from './configuration/configuration.ts'
 import { addConfigurationMetrics } from './configuration/configuration-metrics.ts'
@@ -11,7 +11,6 @@
 import type { Member } from './membership/membership-view.ts'
 import { createPlacement } from './membership/placement-actor.ts'
 import type { PlacementView } from './membership/placement-view.ts'
-import { WsPeerNetwork } from './peers/ws-peer-network.ts'
 import { startDatabaseService } from './serving/start-database-service.ts'
 import type { ProxySettings } from './settings.ts'
 import type { DatabaseService, FindService } from './statements/database-service.ts'
--- a/packages/proxy/src/configuration/decision.ts
+++ b/packages/proxy/src/configuration/decision.ts
@@ -1,4 +1,4 @@
-import type { Decide, Step } from '../runtime/decision.ts'
+import type { Decide, Step } from '@camphorpitch/wire'
 import { recordFleetSize } from './currency.ts'
 import { decidePoll, decideReady, handlePeerMessage } from './gossip.ts'
 import { decideCall, handleListed, handleServiceFailed, handleWatched } from './service-calls.ts'
--- a/packages/proxy/src/configuration/fake-fleet.ts
+++ b/packages/proxy/src/configuration/fake-fleet.ts
@@ -1,6 +1,5 @@
-import { createSeededRandom, type StoredObject } from '@camphorpitch/wire'
+import { createSeededRandom, type Decide, type StoredObject } from '@camphorpitch/wire'
 import type { Member } from '../membership/membership-view.ts'
-import type { Decide } from '../runtime/decision.ts'
 import { decideConfiguration } from './decision.ts'
 import { FakeObjectService } from './fake-object-service.ts'
 import { formatKey } from './object-set.ts'
--- a/packages/proxy/src/failover/decide-failover.ts
+++ b/packages/proxy/src/failover/decide-failover.ts
@@ -1,5 +1,4 @@
-import type { InstanceStatus } from '@camphorpitch/wire'
-import type { Step } from '../runtime/decision.ts'
+import type { InstanceStatus, Step } from '@camphorpitch/wire'
 import { handleElectionFailure, handleGrant, startElection } from './election.ts'
 import { countReachable, findReachablePrimary, findUsablePrimary, isHeardByReplica, isOlder, isPrimaryExpected, isPrimaryLeaving, isReachable, isReplicationLost, listProbed, readHighestTerm } from './health.ts'
 import type { FailoverEffect, FailoverMessage } from './messages.ts'
--- a/packages/proxy/src/failover/start-group-view.ts
+++ b/packages/proxy/src/failover/start-group-view.ts
@@ -1,7 +1,6 @@
 import { randomBytes } from 'node:crypto'
-import { comparePositions, formatFence, formatFollow, formatPromote, formatStatusQuery, parseInstanceStatus, type Clock, type Database, type InstanceStatus, type Logger, type LogPosition } from '@camphorpitch/wire'
+import { type Clock, comparePositions, type Database, formatFence, formatFollow, formatPromote, formatStatusQuery, type InstanceStatus, type Logger, type LogPosition, parseInstanceStatus, spawnSlice } from '@camphorpitch/wire'
 import type { ActorSystemRef } from 'nact'
-import { spawnSlice } from '../runtime/slice-actor.ts'
 import type { Metrics } from '../telemetry/metrics.ts'
 import { createControlConnection, type ControlConnection } from './control-connection.ts'
 import { decideFailover } from './decide-failover.ts'
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -2,7 +2,6 @@
 export { TOLERATED_PAUSE_MS } from './failover/timings.ts'
 export { createFailoverState, type FailoverState } from './failover/state.ts'
 export { decideFailover } from './failover/decide-failover.ts'
-export { WsPeerNetwork } from './peers/ws-peer-network.ts'
 export { DatabaseService } from './statements/database-service.ts'
 export { parseStatementMessage, RemoteStatements } from './statements/remote-statements.ts'
 export { STATEMENTS_SLICE, StatementServer } from './statements/statement-server.ts'
--- a/packages/proxy/src/limits/decide-limits.ts
+++ b/packages/proxy/src/limits/decide-limits.ts
@@ -1,6 +1,5 @@
-import type { Rate } from '@camphorpitch/wire'
+import type { Rate, Step } from '@camphorpitch/wire'
 import type { Member } from '../membership/membership-view.ts'
-import type { Step } from '../runtime/decision.ts'
 import {
   computeAssignmentWakeMs, handleMembers, handleWriteResult, isStopped, planAssignment, recordMissed, startStopping, type WriteResult
 } from './assignment.ts'
--- a/packages/proxy/src/limits/limits-safety.test.ts
+++ b/packages/proxy/src/limits/limits-safety.test.ts
@@ -1,7 +1,6 @@
-import type { Rate } from '@camphorpitch/wire'
+import type { Decide, Rate } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import fc from 'fast-check'
-import type { Decide } from '../runtime/decision.ts'
 import { decideLimits, type LimitInput, type LimitState } from './decide-limits.ts'
 import type { LimitEffect } from './effects.ts'
 import { VirtualFleet, type AdmissionRecord, type ServiceMode, type VirtualVm } from './virtual-fleet.ts'
--- a/packages/proxy/src/limits/start-limiter.test.ts
+++ b/packages/proxy/src/limits/start-limiter.test.ts
@@ -1,12 +1,9 @@
-import {
-  createLogger, MonotonicClock, ObjectClient, PEER_PROTOCOL_VERSION, type Contract, type Hello, type Logger
-} from '@camphorpitch/wire'
+import { type Contract, createLogger, type Hello, type Logger, MonotonicClock, ObjectClient, PEER_PROTOCOL_VERSION, WsPeerNetwork } from '@camphorpitch/wire'
 import { startPlatform, type RunningPlatform } from '@camphorpitch/standins'
 import { expect } from 'chai'
 import { start, stop } from 'nact'
 import { ConfigurationView } from '../configuration/configuration-view.ts'
 import { MembershipView, type Member } from '../membership/membership-view.ts'
-import { WsPeerNetwork } from '../peers/ws-peer-network.ts'
 import type { Admission } from './limiter.ts'
 import { findCountingSince } from './ownership.ts'
 import { startLimiter, type RunningLimiter } from './start-limiter.ts'
--- a/packages/proxy/src/limits/start-limiter.ts
+++ b/packages/proxy/src/limits/start-limiter.ts
@@ -1,11 +1,7 @@
-import {
-  ConflictError, limitOwnersSchema, PlatformError, UnknownOutcomeError, type Clock, type LimitOwners, type Logger, type ObjectClient, type StoredObject
-} from '@camphorpitch/wire'
+import { type Clock, ConflictError, type LimitOwners, limitOwnersSchema, type Logger, type ObjectClient, type PeerNetwork, PlatformError, type SliceActor, spawnSlice, type StoredObject, UnknownOutcomeError } from '@camphorpitch/wire'
 import type { ActorSystemRef } from 'nact'
 import type { ConfigurationView } from '../configuration/configuration-view.ts'
 import type { MembershipView } from '../membership/membership-view.ts'
-import type { PeerNetwork } from '../peers/peer-network.ts'
-import { spawnSlice, type SliceActor } from '../runtime/slice-actor.ts'
 import type { WriteResult } from './assignment.ts'
 import { createLimitState, decideLimits, type LimitInput, type LimitState } from './decide-limits.ts'
 import type { LimitEffect, Self } from './effects.ts'
--- a/packages/proxy/src/limits/virtual-fleet.ts
+++ b/packages/proxy/src/limits/virtual-fleet.ts
@@ -1,6 +1,5 @@
-import { createSeededRandom, type LimitOwners, type Rate } from '@camphorpitch/wire'
+import { createSeededRandom, type Decide, type LimitOwners, type Rate } from '@camphorpitch/wire'
 import type { Member } from '../membership/membership-view.ts'
-import type { Decide } from '../runtime/decision.ts'
 import { createLimitState, decideLimits, type LimitInput, type LimitState } from './decide-limits.ts'
 import type { LimitEffect } from './effects.ts'
 import type { Admission } from './limiter.ts'
--- a/packages/proxy/src/membership/decision.ts
+++ b/packages/proxy/src/membership/decision.ts
@@ -1,5 +1,4 @@
-import type { Vm } from '@camphorpitch/wire'
-import type { Step } from '../runtime/decision.ts'
+import type { Step, Vm } from '@camphorpitch/wire'
 import type { MembershipInput, MembershipMessage, MemberUpdate } from './messages.ts'
 import { selectServingVms } from './placement.ts'
 import { checkClaim, checkSuspicions, listRegularTargets, probeSuspect, retryProbes, ROUND_INTERVAL_MS, startProbe, startRound } from './probes.ts'
--- a/packages/proxy/src/membership/membership-actor.test.ts
+++ b/packages/proxy/src/membership/membership-actor.test.ts
@@ -1,7 +1,6 @@
-import { createLogger, MonotonicClock, type Hello, type Vm } from '@camphorpitch/wire'
+import { createLogger, type Hello, MonotonicClock, type PeerHandler, PeerNetwork, type Vm } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import { start, stop } from 'nact'
-import { PeerNetwork, type PeerHandler } from '../peers/peer-network.ts'
 import { startMembership, type RunningMembership } from './membership-actor.ts'
 import { listPlaceable } from './membership-view.ts'
 
--- a/packages/proxy/src/membership/membership-actor.ts
+++ b/packages/proxy/src/membership/membership-actor.ts
@@ -1,7 +1,5 @@
-import type { Clock, Logger, ObjectClient, Vm } from '@camphorpitch/wire'
+import { type Clock, type Logger, type ObjectClient, type PeerNetwork, type SliceActor, spawnSlice, type Vm } from '@camphorpitch/wire'
 import type { ActorSystemRef } from 'nact'
-import type { PeerNetwork } from '../peers/peer-network.ts'
-import { spawnSlice, type SliceActor } from '../runtime/slice-actor.ts'
 import { decideMembership, TICK_INTERVAL_MS } from './decision.ts'
 import { MembershipView, type Member } from './membership-view.ts'
 import { membershipMessageSchema, type MembershipInput } from './messages.ts'
--- a/packages/proxy/src/pool/decide-pool.test.ts
+++ b/packages/proxy/src/pool/decide-pool.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import type { Decide } from '../runtime/decision.ts'
+import type { Decide } from '@camphorpitch/wire'
 import { decidePool } from './decide-pool.ts'
 import type { PoolEffect, PoolMessage } from './messages.ts'
 import { computePoolLimits, createPoolState, type PoolState } from './state.ts'
--- a/packages/proxy/src/pool/decide-pool.ts
+++ b/packages/proxy/src/pool/decide-pool.ts
@@ -1,4 +1,4 @@
-import type { Step } from '../runtime/decision.ts'
+import type { Step } from '@camphorpitch/wire'
 import { addItem, countAhead, countWaiting, pickItem, recordCost, removeItems } from './fair-queue.ts'
 import type { PoolEffect, PoolMessage } from './messages.ts'
 import type { PooledConnection, PoolLimits, PoolState, Waiter } from './state.ts'
--- a/packages/proxy/src/pool/instance-pool.ts
+++ b/packages/proxy/src/pool/instance-pool.ts
@@ -1,6 +1,5 @@
-import { TOO_MANY_CONNECTIONS_ERRNO, type Clock, type Database, type Endpoint, type Logger } from '@camphorpitch/wire'
+import { type Clock, type Database, type Endpoint, type Logger, type SliceActor, spawnSlice, TOO_MANY_CONNECTIONS_ERRNO } from '@camphorpitch/wire'
 import type { ActorSystemRef } from 'nact'
-import { spawnSlice, type SliceActor } from '../runtime/slice-actor.ts'
 import { decidePool } from './decide-pool.ts'
 import { openEndpointConnection, type EndpointConnection } from './endpoint-connection.ts'
 import type { PoolEffect, PoolMessage } from './messages.ts'
--- a/packages/proxy/src/statements/forwarding.test.ts
+++ b/packages/proxy/src/statements/forwarding.test.ts
@@ -1,7 +1,6 @@
-import { MonotonicClock, createLogger, type AnswerFrame, type StatementRequest } from '@camphorpitch/wire'
+import { type AnswerFrame, createLogger, MonotonicClock, type StatementRequest, WsPeerNetwork } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import { PlacementView } from '../membership/placement-view.ts'
-import { WsPeerNetwork } from '../peers/ws-peer-network.ts'
 import { DatabaseService } from './database-service.ts'
 import { parseStatementMessage, RemoteStatements } from './remote-statements.ts'
 import { STATEMENTS_SLICE, StatementServer } from './statement-server.ts'
--- a/packages/proxy/src/statements/remote-statements.ts
+++ b/packages/proxy/src/statements/remote-statements.ts
@@ -1,5 +1,4 @@
-import { statementMessageSchema, type AnswerFrame, type StatementMessage, type StatementRequest } from '@camphorpitch/wire'
-import type { LinkLoss, PeerNetwork } from '../peers/peer-network.ts'
+import { type AnswerFrame, type LinkLoss, type PeerNetwork, type StatementMessage, statementMessageSchema, type StatementRequest } from '@camphorpitch/wire'
 import { StreamLostError, StreamNotStartedError } from './errors.ts'
 import { FrameChannel } from './frame-channel.ts'
 import { STATEMENTS_SLICE } from './statement-server.ts'
--- a/packages/proxy/src/statements/statement-server.ts
+++ b/packages/proxy/src/statements/statement-server.ts
@@ -1,5 +1,4 @@
-import type { AnswerFrame, Logger, StatementMessage, StatementRequest } from '@camphorpitch/wire'
-import type { PeerNetwork } from '../peers/peer-network.ts'
+import type { AnswerFrame, Logger, PeerNetwork, StatementMessage, StatementRequest } from '@camphorpitch/wire'
 import type { FindService } from './database-service.ts'
 import { FRAME_WINDOW } from './frame-channel.ts'
 
--- a/packages/proxy/src/peers/link-registry.ts
+++ b/packages/wire/src/peer/link-registry.ts
@@ -1,4 +1,6 @@
-import type { Clock, Envelope, PeerLink } from '@camphorpitch/wire'
+import type { Clock } from '../process/clock.ts'
+import type { Envelope } from './envelope.ts'
+import type { PeerLink } from './link.ts'
 
 /** Silence after a send before the peer is pinged. */
 const PING_AFTER_MS = 1_000
--- a/packages/proxy/src/peers/peer-network.ts
+++ b/packages/wire/src/peer/peer-network.ts
@@ -1,4 +1,4 @@
-import type { Hello } from '@camphorpitch/wire'
+import type { Hello } from './envelope.ts'
 
 /**
  * How a link was lost: `closed` after it was open, so everything in flight may have arrived or not;
--- a/packages/proxy/src/peers/ws-peer-network.ts
+++ b/packages/wire/src/peer/ws-peer-network.ts
@@ -1,4 +1,8 @@
-import { LinkError, listenForPeers, openPeerLink, type Clock, type Envelope, type Hello, type LinkHandlers, type Logger, type PeerLink, type PeerServer } from '@camphorpitch/wire'
+import { LinkError } from '../errors/base.ts'
+import type { Clock } from '../process/clock.ts'
+import type { Logger } from '../process/logger.ts'
+import type { Envelope, Hello } from './envelope.ts'
+import { listenForPeers, openPeerLink, type LinkHandlers, type PeerLink, type PeerServer } from './link.ts'
 import { LinkRegistry } from './link-registry.ts'
 import { PeerNetwork, type LinkLoss, type LossListener, type PeerHandler } from './peer-network.ts'
 
--- a/packages/proxy/src/runtime/slice-actor.ts
+++ b/packages/wire/src/runtime/slice-actor.ts
@@ -1,4 +1,5 @@
-import type { Clock, Logger } from '@camphorpitch/wire'
+import type { Clock } from '../process/clock.ts'
+import type { Logger } from '../process/logger.ts'
 import { dispatch, spawn, stop, type ActorSystemRef, type Ref } from 'nact'
 import type { Decide } from './decision.ts'
 
