--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', 'reports/**'] }),
+  ...neostandard({ ts: true, ignores: ['target/**', '**/dist/**', 'reports/**'] }),
   {
     files: ['**/*.test.ts'],
     rules: { 'no-unused-expressions': 'off', '@typescript-eslint/no-unused-expressions': 'off' }
--- /dev/null
+++ b/packages/gateway/src/app.ts
@@ -0,0 +1,164 @@
+import { MonotonicClock, WsPeerNetwork, type Clock, type Hello, type Logger, PEER_PROTOCOL_VERSION } from '@camphorpitch/wire'
+import type { EndpointConnector } from './backend/endpoint-connector.ts'
+import type { Promoter } from './backend/promoter.ts'
+import type { ClientListener } from './clients/client-listener.ts'
+import { ElapsedClock } from './clock/elapsed-clock.ts'
+import { ConfigurationHolder } from './configuration/configuration-holder.ts'
+import { applyChanges, applyListing, createDirectory, recordStoreReturn, sweepLapsed, type DirectoryState } from './directory/directory.ts'
+import { drainSessions } from './drain/drain.ts'
+import { ControlConnections } from './failover/control-connections.ts'
+import { DutyClaims } from './failover/duty-claim.ts'
+import { FailoverWatch } from './failover/failover-watch.ts'
+import { LeadershipQuestions } from './failover/prove-leadership.ts'
+import { Fleet } from './fleet/fleet.ts'
+import { FleetMessages } from './fleet/fleet-messages.ts'
+import { createMemberState, type MemberState } from './fleet/members.ts'
+import type { VmEntry } from './fleet/messages.ts'
+import { GroupTable, type GroupTableOptions } from './groups/group-table.ts'
+import { QuotaKeeper } from './limits/quota-keeper.ts'
+import type { MetadataStore } from './metadata/metadata-store.ts'
+import { watchKind, type KindWatch } from './metadata/watch-kind.ts'
+import { ClientSession } from './sessions/client-session.ts'
+import { GatewaySessionHost } from './sessions/gateway-session-host.ts'
+import type { GatewaySettings } from './settings.ts'
+import { createGatewayMetrics, type GatewayMetrics } from './telemetry/gateway-metrics.ts'
+
+const SWEEP_INTERVAL_MS = 500
+
+/** The outside of a gateway; each is one implementation of a seam. */
+export interface GatewayOutside {
+  connector: EndpointConnector
+  listener: ClientListener
+  store: MetadataStore
+  promoter: Promoter
+}
+
+export interface GatewayOptions {
+  settings: GatewaySettings
+  outside: GatewayOutside
+  logger: Logger
+  clock?: Clock
+}
+
+/** A running gateway. */
+export interface Gateway {
+  metrics: GatewayMetrics
+  isReady: () => boolean
+  /** Ends without cutting a running statement or, for half of the grace period, an open transaction. */
+  drain: () => Promise<void>
+}
+
+interface Parts {
+  settings: GatewaySettings
+  outside: GatewayOutside
+  logger: Logger
+  clock: Clock
+  metrics: GatewayMetrics
+  configuration: ConfigurationHolder
+  directory: DirectoryState
+  members: MemberState
+  groups: GroupTable
+  quotas: QuotaKeeper
+  questions: LeadershipQuestions
+  network: WsPeerNetwork
+  fleet: Fleet
+  failover: FailoverWatch
+}
+
+/** Starts every slice of a VM's gateway and wires them to each other. */
+export async function startGateway ({ settings, outside, logger, clock = new ElapsedClock() }: GatewayOptions): Promise<Gateway> {
+  const parts = createParts(settings, outside, logger, clock)
+  const { network, fleet, failover, quotas, configuration, groups, metrics, directory } = parts
+  await network.listen(settings.host, settings.internalPorts[0])
+  fleet.start()
+  failover.start()
+  const watches = startWatches(parts)
+  const sweeping = setInterval(() => {
+    groups.applyChanges(sweepLapsed(directory, clock.readNow()))
+    for (const group of groups.list()) for (const pool of group.pools.values()) pool.runPlan()
+  }, SWEEP_INTERVAL_MS)
+  const sessions = new Set<ClientSession>()
+  configuration.subscribe(current => {
+    metrics.configurationVersion.set(current.version)
+    quotas.update()
+    for (const session of sessions) session.applyConfiguration(current)
+  })
+  await listenForClients(parts, sessions)
+  let isDraining = false
+  return {
+    metrics,
+    isReady: () => !isDraining && configuration.current !== null && groups.list().length > 0,
+    drain: async () => {
+      isDraining = true
+      await drainSessions({ clock, logger, graceMs: settings.graceS * 1_000, listSessions: () => [...sessions] })
+      clearInterval(sweeping)
+      for (const w of watches) w.stop()
+      failover.stop()
+      await Promise.all([fleet.stop(), network.stop(), outside.listener.stop()])
+    }
+  }
+}
+
+function createParts (settings: GatewaySettings, outside: GatewayOutside, logger: Logger, clock: Clock): Parts {
+  const { store, connector, promoter } = outside
+  const metrics = createGatewayMetrics()
+  const configuration = new ConfigurationHolder(logger)
+  // Unique to this start even where the time of day was set back: peers compare it only with earlier starts of this VM.
+  const incarnation = Date.now()
+  const self: VmEntry = { vm: settings.vm, host: settings.host, port: settings.internalPorts[0], failureDomain: settings.failureDomain, region: settings.region, incarnation }
+  const members = createMemberState(self)
+  const control = new ControlConnections(connector)
+  const questions = new LeadershipQuestions({ clock, logger, control })
+  const directory = createDirectory()
+  const recordOpened = (service: string): void => metrics.connectionsOpened.inc({ service })
+  const checkRole: GroupTableOptions['checkRole'] = (group, entry) => { questions.checkRole(group, entry).catch((error: unknown) => logger.error('role not checked', { error: String(error) })) }
+  const groups = new GroupTable({ connector, clock, logger, configuration, members, recordOpened, checkRole })
+  const quotas = new QuotaKeeper({ settings, clock, configuration, members })
+  const network = createNetwork(self, members, logger)
+  const messages = new FleetMessages({ clock, logger, self, configuration, directory, groups, quotas, members })
+  const fleet = new Fleet({ state: members, network, store, clock, logger, ...messages.createHandlers() })
+  const claims = new DutyClaims({ store, clock, logger, vm: settings.vm, incarnation })
+  const host = { clock, logger, vm: settings.vm, control, claims, promoter, ...messages.createPromotionCalls() }
+  const recordResult = (service: string, result: string): void => metrics.promotions.inc({ service, result })
+  const failover = new FailoverWatch({ clock, logger, members, host, listGroups: () => groups.list(), poll: () => fleet.poll(), recordResult })
+  messages.connect(fleet, failover)
+  return { settings, outside, logger, clock, metrics, configuration, directory, members, groups, quotas, questions, network, fleet, failover }
+}
+
+function createNetwork (self: VmEntry, members: MemberState, logger: Logger): WsPeerNetwork {
+  const hello: Hello = { version: PEER_PROTOCOL_VERSION, vm: self.vm, incarnation: self.incarnation, failureDomain: self.failureDomain }
+  const findAddress = (vm: string): { host: string, port: number } | undefined => members.members.get(vm)?.entry
+  return new WsPeerNetwork({ self: hello, clock: new MonotonicClock(), logger, findAddress })
+}
+
+function startWatches ({ outside: { store }, logger, clock, configuration, directory, groups }: Parts): KindWatch[] {
+  const handleRegained = (): void => recordStoreReturn(directory, clock.readNow())
+  const endpoints = watchKind({
+    store,
+    logger,
+    kind: 'endpoints',
+    handleRegained,
+    applyListing: listing => groups.applyChanges(applyListing(directory, listing, clock.readNow())),
+    applyChanges: (changes, asOf) => groups.applyChanges(applyChanges(directory, changes, asOf, clock.readNow()))
+  })
+  const versions = watchKind({
+    store,
+    logger,
+    kind: 'configuration',
+    applyListing: ({ items }) => { for (const { value } of items) if (value !== null) configuration.apply(value, 'list') },
+    applyChanges: changes => { for (const { object } of changes) if (object.value !== null) configuration.apply(object.value, 'watch') }
+  })
+  return [endpoints, versions]
+}
+
+async function listenForClients (parts: Parts, sessions: Set<ClientSession>): Promise<void> {
+  const { outside, settings, metrics } = parts
+  const host = new GatewaySessionHost({ ...parts, removeSession: session => { sessions.delete(session) } })
+  let accepted = 0
+  await outside.listener.listen(transport => {
+    const session = new ClientSession(`${settings.vm}-${++accepted}`, host, transport)
+    sessions.add(session)
+    metrics.sessions.set(sessions.size)
+    return session
+  })
+}
--- /dev/null
+++ b/packages/gateway/src/failover/failover-watch.ts
@@ -0,0 +1,107 @@
+import type { Clock, Logger } from '@camphorpitch/wire'
+import { computeRank, listHeard, listPossible, type MemberState } from '../fleet/members.ts'
+import type { ServiceGroup } from '../groups/service-group.ts'
+import { measureSilence } from '../pool/endpoint-health.ts'
+import { findPromotionReason, type PromotionEvidence } from './decide-promotion.ts'
+import { runPromotion, type PromotionHost } from './run-promotion.ts'
+
+const TICK_MS = 100
+/** Silence of a primary after which fresh reports of other VMs are asked for, in milliseconds. */
+const DOUBT_AFTER_MS = 350
+/** After an attempt the next one of this VM begins no sooner, in milliseconds. */
+const ATTEMPT_INTERVAL_MS = 1_500
+/** Shortest time between two promotions of a service, in milliseconds; a new primary needs it to show itself. */
+const SETTLE_MS = 3_000
+/** Expected time from now to a new primary, in milliseconds, by how far a change is. */
+const RECOVERY_ONGOING_MS = 1_200
+const RECOVERY_AHEAD_MS = 2_000
+
+export interface FailoverWatchOptions {
+  clock: Clock
+  logger: Logger
+  members: MemberState
+  host: PromotionHost
+  listGroups: () => ServiceGroup[]
+  /** Asks other VMs for fresh reports. */
+  poll: () => void
+  recordResult: (service: string, result: 'promoted' | 'none') => void
+}
+
+/** Watches every group's primary and replaces it when need be. */
+export class FailoverWatch {
+  readonly #options: FailoverWatchOptions
+  readonly #running = new Set<string>()
+  readonly #notBeforeMs = new Map<string, number>()
+  #timer: NodeJS.Timeout | undefined
+
+  constructor (options: FailoverWatchOptions) {
+    this.#options = options
+  }
+
+  start (): void {
+    this.#timer = setInterval(() => {
+      for (const group of this.#options.listGroups()) this.#checkGroup(group)
+    }, TICK_MS)
+  }
+
+  stop (): void {
+    clearInterval(this.#timer)
+  }
+
+  /** Takes in that a primary was found or promoted: no other change is due for a while. */
+  recordChange (service: string): void {
+    this.#notBeforeMs.set(service, this.#options.clock.readNow() + SETTLE_MS)
+  }
+
+  /** Milliseconds until the group is likely to take writes; 0 while it does. */
+  estimateRecoveryMs (group: ServiceGroup): number {
+    if (this.#running.has(group.service)) return RECOVERY_ONGOING_MS
+    return group.isWritable ? 0 : RECOVERY_AHEAD_MS
+  }
+
+  #checkGroup (group: ServiceGroup): void {
+    const { service } = group
+    const nowMs = this.#options.clock.readNow()
+    if (this.#running.has(service)) return
+    const evidence = this.#collectEvidence(group, nowMs)
+    if (evidence.silenceMs >= DOUBT_AFTER_MS || evidence.refusedMs > 0) this.#options.poll()
+    if (nowMs < (this.#notBeforeMs.get(service) ?? -Infinity)) return
+    const reason = findPromotionReason(evidence)
+    if (reason === null) return
+    this.#options.logger.warn('primary to be replaced', { service, reason, primary: group.state.primary, ...evidence })
+    this.#running.add(service)
+    this.#notBeforeMs.set(service, nowMs + ATTEMPT_INTERVAL_MS)
+    runPromotion(this.#options.host, group, reason).then(promoted => {
+      this.#options.recordResult(service, promoted === null ? 'none' : 'promoted')
+      if (promoted !== null) this.recordChange(service)
+    }, (error: unknown) => {
+      this.#options.logger.info('promotion not begun', { service, reason: error instanceof Error ? error.message : String(error) })
+    }).finally(() => {
+      this.#running.delete(service)
+      this.#notBeforeMs.set(service, Math.max(this.#notBeforeMs.get(service) ?? 0, this.#options.clock.readNow() + ATTEMPT_INTERVAL_MS / 3))
+    })
+  }
+
+  #collectEvidence (group: ServiceGroup, nowMs: number): PromotionEvidence {
+    const { members } = this.#options
+    const { state, primaryPool, peers } = group
+    const views = [...peers.values()]
+    const health = primaryPool?.health
+    const candidates = [...group.pools.values()].filter(p => p !== primaryPool && !p.entry.isDraining)
+    const ownPendingMs = group.unansweredWriteSinceMs === null ? 0 : nowMs - group.unansweredWriteSinceMs
+    return {
+      hasPrimary: state.primary !== null,
+      isRegistered: primaryPool !== undefined,
+      drainingMs: group.drainingSinceMs === null ? 0 : nowMs - group.drainingSinceMs,
+      silenceMs: health === undefined ? 0 : measureSilence(health, nowMs),
+      refusedMs: health?.refusedSinceMs == null ? 0 : nowMs - health.refusedSinceMs,
+      sinceHeardMs: nowMs - Math.max(state.heardAtMs, health?.heardAtMs ?? -Infinity, ...views.map(v => v.heardAtMs)),
+      pendingWriteMs: Math.max(ownPendingMs, ...views.map(v => v.pendingWriteMs)),
+      sinceAcknowledgedMs: nowMs - Math.max(state.acknowledgedAtMs, ...views.map(v => v.acknowledgedAtMs)),
+      leaderlessMs: group.leaderlessSinceMs === null ? 0 : nowMs - group.leaderlessSinceMs,
+      isAlone: listHeard(members, nowMs).length === 0 && listPossible(members, nowMs).length > 0,
+      rank: computeRank(members, group.service, nowMs),
+      hasCandidate: candidates.length > 0
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/failover/prove-leadership.ts
@@ -0,0 +1,98 @@
+import type { Clock, Logger } from '@camphorpitch/wire'
+import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+import { recordLeadership } from '../freshness/group-state.ts'
+import type { ServiceGroup } from '../groups/service-group.ts'
+import { sleep } from '../runtime/wait-at-most.ts'
+import type { ControlConnections } from './control-connections.ts'
+
+/** A replica that started less than this ago may have forgotten that it was paused, in milliseconds. */
+const YOUNG_AFTER_MS = 10_000
+/** A group is asked again no sooner than this, in milliseconds. */
+const ASK_INTERVAL_MS = 200
+
+export interface LeadershipQuestionsOptions {
+  clock: Clock
+  logger: Logger
+  control: ControlConnections
+}
+
+/**
+ * Asks groups who leads, where ordinary answers do not tell.
+ *
+ * A replica that is not paused and follows the primary's term proves that no promoter had fenced the group
+ * when it was asked, as a promoter pauses every replica first.
+ */
+export class LeadershipQuestions {
+  readonly #options: LeadershipQuestionsOptions
+  readonly #running = new Map<string, Promise<void>>()
+  readonly #askedAtMs = new Map<string, number>()
+
+  constructor (options: LeadershipQuestionsOptions) {
+    this.#options = options
+  }
+
+  /** Returns once the group has been asked, or after `waitMs`. */
+  async prove (group: ServiceGroup, waitMs: number): Promise<void> {
+    await Promise.race([this.#runOnce(`prove ${group.service}`, async () => await this.#askReplicas(group)), sleep(waitMs)])
+  }
+
+  /** Asks all endpoints for their role and takes in who leads. */
+  async findPrimary (group: ServiceGroup): Promise<void> {
+    await this.#runOnce(`find ${group.service}`, async () => {
+      const roles = await Promise.all([...group.pools.values()].map(async p => await this.checkRole(group, p.entry)))
+      const isLeader = roles.includes('primary')
+      const believed = [...group.pools.keys()].indexOf(group.state.primary?.endpoint ?? '')
+      if (!isLeader && roles[believed] === 'replica') group.losePrimary()
+    })
+  }
+
+  /** Asks one endpoint for its role. */
+  async checkRole (group: ServiceGroup, entry: EndpointEntry): Promise<'primary' | 'replica' | null> {
+    const status = await this.#ask(entry)
+    if (status?.role === 'primary') group.adoptPrimary(entry.endpoint, status.term, 'asked')
+    return status?.role ?? null
+  }
+
+  async #askReplicas (group: ServiceGroup): Promise<void> {
+    const primary = group.state.primary
+    const sentAtMs = this.#options.clock.readNow()
+    const pools = [...group.pools.values()]
+    if (primary === null || pools.length === 0) return
+    const primaryEntry = group.primaryPool?.entry
+    if (primary.term === 0 && primaryEntry !== undefined) await this.checkRole(group, primaryEntry)
+    const replicas = pools.filter(p => p.entry.endpoint !== primary.endpoint && Date.now() - p.entry.startedAtMs >= YOUNG_AFTER_MS)
+    const isProof = async (entry: EndpointEntry): Promise<void> => {
+      const status = await this.#ask(entry)
+      const { primary: current } = group.state
+      const isFollowing = status?.role === 'replica' && status.pausedForTerm === 0 && status.term === current?.term
+      if (current === null || !isFollowing) throw new Error(`${entry.endpoint} does not prove it`)
+      recordLeadership(group.state, current.endpoint, sentAtMs)
+      this.#options.logger.info('leadership proven', { service: group.service, primary: current.endpoint, term: current.term, by: entry.endpoint })
+    }
+    try {
+      await Promise.any(replicas.map(p => isProof(p.entry)))
+    } catch {
+      this.#options.logger.info('leadership not proven', { service: group.service, primary: primary.endpoint, term: primary.term, asked: replicas.length })
+    }
+  }
+
+  async #ask (entry: EndpointEntry): ReturnType<ControlConnections['run']> {
+    try {
+      return await this.#options.control.run(entry, async c => await c.readStatus())
+    } catch (error) {
+      this.#options.logger.info('status not answered', { endpoint: entry.endpoint, reason: error instanceof Error ? error.message : String(error) })
+      return null
+    }
+  }
+
+  async #runOnce (name: string, ask: () => Promise<void>): Promise<void> {
+    const running = this.#running.get(name)
+    if (running !== undefined) return await running
+    const nowMs = this.#options.clock.readNow()
+    if (nowMs - (this.#askedAtMs.get(name) ?? -Infinity) < ASK_INTERVAL_MS) return
+    this.#askedAtMs.set(name, nowMs)
+    const asking = ask().finally(() => this.#running.delete(name))
+    this.#running.set(name, asking)
+    await asking
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -0,0 +1,209 @@
+import { comparePositions, type Clock, type Logger, type LogPosition } from '@camphorpitch/wire'
+import type { EndpointStatus } from '../backend/endpoint-connector.ts'
+import type { Promoter } from '../backend/promoter.ts'
+import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+import { LEADER_LEASE_MS } from '../freshness/group-state.ts'
+import type { ServiceGroup } from '../groups/service-group.ts'
+import { sleep } from '../runtime/wait-at-most.ts'
+import type { ControlCommand, ControlConnections } from './control-connections.ts'
+import { pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
+import type { Claim, DutyClaims } from './duty-claim.ts'
+
+/** Time for other VMs to confirm that they no longer trust the primary, in milliseconds. */
+const REVOKE_WAIT_MS = 250
+/** The same where statements that run at the primary may end first. */
+const PLANNED_REVOKE_WAIT_MS = 700
+/** Time for replicas to receive all of a primary that has stepped down, in milliseconds. */
+const CATCH_UP_WAIT_MS = 600
+const STATUS_INTERVAL_MS = 100
+const PROMOTE_TIMEOUT_MS = 700
+/** Time for a promotion to take effect, in milliseconds. */
+const EFFECT_WAIT_MS = 3_500
+const BUSY_TRIES = 4
+const BUSY_PAUSE_MS = 25
+
+export interface Revocation {
+  /** Whether every VM that may be running has confirmed. */
+  isEveryVmHeard: boolean
+  /** Latest position that any of them knows to be acknowledged. */
+  acknowledged: LogPosition | null
+}
+
+export interface PromotionHost {
+  clock: Clock
+  logger: Logger
+  vm: string
+  control: ControlConnections
+  claims: DutyClaims
+  promoter: Promoter
+  /** Asks all VMs not to trust the primary, this one included. */
+  revoke: (group: ServiceGroup, term: number, isPlanned: boolean, waitMs: number) => Promise<Revocation>
+  /** Tells all VMs who leads; `null` when the attempt came to nothing. */
+  publishOutcome: (group: ServiceGroup, endpoint: string | null, term: number) => void
+}
+
+interface Attempt {
+  host: PromotionHost
+  group: ServiceGroup
+  reason: PromotionReason
+  claim: Claim
+  /** Term that the fenced endpoints were told. */
+  term: number
+  old: EndpointEntry | undefined
+  replicas: EndpointEntry[]
+}
+
+/**
+ * Replaces a service's primary.
+ *
+ * 1. Claims the duty at the store, which gives a fencing token.
+ * 2. Fences: every replica is paused at a new term, or, in a planned change, the old primary steps down first.
+ * 3. Has all VMs revoke their trust in the old primary; where one does not confirm, waits until its lease has surely ended.
+ * 4. Promotes the most advanced replica, waits until it leads, then lets the others receive again.
+ *
+ * @returns the new primary, or `null`
+ */
+export async function runPromotion (host: PromotionHost, group: ServiceGroup, reason: PromotionReason): Promise<string | null> {
+  const claim = await host.claims.claim(group.service)
+  if (claim === null) {
+    host.logger.info('promotion left to another VM', { service: group.service, reason })
+    return null
+  }
+  const entries = [...group.pools.values()].map(p => p.entry)
+  const old = entries.find(e => e.endpoint === group.state.primary?.endpoint)
+  const attempt: Attempt = { host, group, reason, claim, old, replicas: entries.filter(e => e !== old), term: (group.state.primary?.term ?? 0) + 1 }
+  host.logger.warn('promotion begins', { service: group.service, reason, old: old?.endpoint, term: attempt.term, fencingToken: claim.fencingToken })
+  let promoted: string | null = null
+  try {
+    promoted = await promoteCandidate(attempt)
+  } catch (error) {
+    host.logger.error('promotion failed', { service: group.service, error: error instanceof Error ? error.message : String(error) })
+  }
+  await finishAttempt(attempt, promoted)
+  return promoted
+}
+
+async function promoteCandidate (attempt: Attempt): Promise<string | null> {
+  const { host, group, reason } = attempt
+  const isPlanned = reason === 'primary draining'
+  await raiseTerm(attempt)
+  const revoking = host.revoke(group, attempt.term, isPlanned, isPlanned ? PLANNED_REVOKE_WAIT_MS : REVOKE_WAIT_MS)
+  if (isPlanned) await revoking
+  const fenced = isPlanned ? await fencePlanned(attempt) : await fenceReplicas(attempt)
+  const fencedAtMs = host.clock.readNow()
+  const revocation = await revoking
+  if (!revocation.isEveryVmHeard) await waitForLeases(attempt, fencedAtMs)
+  const missing = isPlanned ? 0 : attempt.replicas.length - fenced.filter(f => !f.isOldPrimary).length
+  const candidate = pickCandidate({ fenced, missing, ...revocation })
+  host.logger.info('promotion candidate', { service: group.service, candidate: candidate?.endpoint, fenced, missing, ...revocation })
+  if (candidate === undefined) return null
+  return await orderPromotion(attempt, candidate.endpoint)
+}
+
+/** A term that none of the group has seen; the primary's is not known before it has been asked. */
+async function raiseTerm (attempt: Attempt): Promise<void> {
+  if (attempt.term > 1) return
+  const known = await runOnAll(attempt, attempt.replicas, async c => await c.readStatus())
+  attempt.term = Math.max(1, ...known.map(({ status }) => Math.max(status.term, status.pausedForTerm) + 1))
+}
+
+async function fenceReplicas (attempt: Attempt): Promise<FencedEndpoint[]> {
+  const { host, old, replicas, term } = attempt
+  const steppingDown = old === undefined ? Promise.resolve([]) : runOnAll(attempt, [old], async c => await c.stepDown(term))
+  const paused = await runOnAll(attempt, replicas, async c => await c.pause(term))
+  const isHeld = (s: EndpointStatus): boolean => s.role === 'replica' && s.pausedForTerm >= term
+  const fenced = paused.filter(({ status }) => isHeld(status)).map(({ entry, status }) => describeFenced(entry, status, false))
+  if (fenced.length === replicas.length) return fenced
+  host.logger.info('replica not fenced', { service: attempt.group.service, term, paused: paused.map(p => ({ endpoint: p.entry.endpoint, ...p.status })) })
+  const steppedDown = await steppingDown
+  return [...fenced, ...steppedDown.filter(({ status }) => status.role === 'replica').map(({ entry, status }) => describeFenced(entry, status, true))]
+}
+
+/** The old primary still works: it steps down, then its replicas receive all that it has. */
+async function fencePlanned (attempt: Attempt): Promise<FencedEndpoint[]> {
+  const { host, old, replicas, term } = attempt
+  if (old === undefined) return []
+  const [steppedDown] = await runOnAll(attempt, [old], async c => await c.stepDown(term))
+  if (steppedDown === undefined || steppedDown.status.role !== 'replica') return []
+  const { received } = steppedDown.status
+  const untilMs = host.clock.readNow() + CATCH_UP_WAIT_MS
+  for (;;) {
+    const known = await runOnAll(attempt, replicas, async c => await c.readStatus())
+    const complete = known.filter(({ status }) => comparePositions(status.received, received) >= 0).map(({ entry, status }) => describeFenced(entry, status, false))
+    if (complete.length > 0) return [...complete, describeFenced(old, steppedDown.status, true)]
+    if (host.clock.readNow() >= untilMs) return [describeFenced(old, steppedDown.status, true)]
+    await sleep(BUSY_PAUSE_MS)
+  }
+}
+
+function describeFenced (entry: EndpointEntry, status: EndpointStatus, isOldPrimary: boolean): FencedEndpoint {
+  return { endpoint: entry.endpoint, received: status.received, isDraining: entry.isDraining, ageMs: Date.now() - entry.startedAtMs, isOldPrimary }
+}
+
+/** A VM that has not confirmed may trust the old primary until its lease has run out. */
+async function waitForLeases (attempt: Attempt, fencedAtMs: number): Promise<void> {
+  const { host, group, term } = attempt
+  const waitMs = fencedAtMs + LEADER_LEASE_MS - host.clock.readNow()
+  host.logger.info('waiting for leases to end', { service: group.service, waitMs: Math.round(waitMs) })
+  if (waitMs > 0) await sleep(waitMs)
+  if (attempt.reason === 'primary draining') return
+  const held = await runOnAll(attempt, attempt.replicas, async c => await c.pause(term))
+  if (held.some(({ status }) => status.role === 'primary')) throw new Error('another endpoint leads already')
+}
+
+async function orderPromotion (attempt: Attempt, endpoint: string): Promise<string | null> {
+  const { host, group, claim } = attempt
+  if (!host.claims.isUsable(claim)) {
+    host.logger.warn('claim ran out before the promotion', { service: group.service })
+    return null
+  }
+  const order = { service: group.service, endpoint, holder: host.vm, fencingToken: claim.fencingToken }
+  const result = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
+  host.logger.warn('promotion ordered', { ...order, result })
+  if (result === 'refused' || result === 'busy') return null
+  return await waitForEffect(attempt, endpoint)
+}
+
+async function waitForEffect (attempt: Attempt, endpoint: string): Promise<string | null> {
+  const { host, group, replicas, old } = attempt
+  const entry = [...replicas, ...old === undefined ? [] : [old]].find(e => e.endpoint === endpoint)
+  const untilMs = host.clock.readNow() + EFFECT_WAIT_MS
+  while (entry !== undefined && host.clock.readNow() < untilMs) {
+    await sleep(STATUS_INTERVAL_MS)
+    const [known] = await runOnAll(attempt, [entry], async c => await c.readStatus())
+    if (known?.status.role !== 'primary') continue
+    host.logger.warn('promotion took effect', { service: group.service, endpoint, term: known.status.term })
+    attempt.term = known.status.term
+    return endpoint
+  }
+  return null
+}
+
+async function finishAttempt (attempt: Attempt, promoted: string | null): Promise<void> {
+  const { host, group, claim, replicas, old, term } = attempt
+  host.publishOutcome(group, promoted, term)
+  const others = replicas.filter(e => e.endpoint !== promoted)
+  await runOnAll(attempt, others, async c => await c.resume())
+  if (old !== undefined && promoted !== null && promoted !== old.endpoint) await runOnAll(attempt, [old], async c => await c.stepDown(term))
+  await host.claims.release(claim)
+}
+
+/** Runs a command on several endpoints at once. @returns the answers of those that gave one */
+async function runOnAll (attempt: Attempt, entries: readonly EndpointEntry[], command: ControlCommand): Promise<Array<{ entry: EndpointEntry, status: EndpointStatus }>> {
+  const answers = await Promise.all(entries.map(async entry => ({ entry, status: await runPatiently(attempt, entry, command) })))
+  return answers.flatMap(({ entry, status }) => status === null ? [] : [{ entry, status }])
+}
+
+async function runPatiently ({ host }: Attempt, entry: EndpointEntry, command: ControlCommand): Promise<EndpointStatus | null> {
+  for (let tries = 1; tries <= BUSY_TRIES; tries++) {
+    try {
+      const status = await host.control.run(entry, command)
+      if (status !== null) return status
+    } catch (error) {
+      host.logger.info('control command not answered', { endpoint: entry.endpoint, reason: error instanceof Error ? error.message : String(error) })
+      return null
+    }
+    await sleep(BUSY_PAUSE_MS)
+  }
+  return null
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/fleet-messages.ts
@@ -0,0 +1,148 @@
+import type { Clock, Logger } from '@camphorpitch/wire'
+import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
+import type { DirectoryState } from '../directory/directory.ts'
+import type { FailoverWatch } from '../failover/failover-watch.ts'
+import type { PromotionHost, Revocation } from '../failover/run-promotion.ts'
+import { isRevoked, restoreTrust, revokeTrust } from '../freshness/group-state.ts'
+import type { GroupTable } from '../groups/group-table.ts'
+import type { ServiceGroup } from '../groups/service-group.ts'
+import type { QuotaKeeper } from '../limits/quota-keeper.ts'
+import type { Fleet, FleetOptions, Poll } from './fleet.ts'
+import { applyGroupReport, createGroupReport } from './group-reports.ts'
+import { listPossible, type MemberState } from './members.ts'
+import type { FleetMessage, Report, VmEntry } from './messages.ts'
+import { RevocationCollector } from './revocations.ts'
+
+/** Longest wait for writes that run at a primary that is to step down, in milliseconds. */
+const WRITES_WAIT_MS = 500
+
+export interface FleetMessagesOptions {
+  clock: Clock
+  logger: Logger
+  self: VmEntry
+  configuration: ConfigurationHolder
+  directory: DirectoryState
+  groups: GroupTable
+  quotas: QuotaKeeper
+  members: MemberState
+}
+
+/** What this VM says to the others, and what it does on what they say. */
+export class FleetMessages {
+  readonly #options: FleetMessagesOptions
+  readonly #revocations = new RevocationCollector()
+  #fleet: Fleet | undefined
+  #failover: FailoverWatch | undefined
+  #attempts = 0
+
+  constructor (options: FleetMessagesOptions) {
+    this.#options = options
+  }
+
+  connect (fleet: Fleet, failover: FailoverWatch): void {
+    this.#fleet = fleet
+    this.#failover = failover
+  }
+
+  createHandlers (): Pick<FleetOptions, 'createReport' | 'createPoll' | 'applyReport' | 'handleMessage' | 'handleRound'> {
+    const { quotas } = this.#options
+    return {
+      createReport: poll => this.#createReport(poll),
+      createPoll: sequence => this.#createPoll(sequence),
+      applyReport: (vm, report, askedAtMs) => this.#applyReport(vm, report, askedAtMs),
+      handleMessage: (vm, message) => this.#handleMessage(vm, message),
+      handleRound: () => quotas.update()
+    }
+  }
+
+  createPromotionCalls (): Pick<PromotionHost, 'revoke' | 'publishOutcome'> {
+    return {
+      revoke: async (group, term, isPlanned, waitMs) => await this.#revoke(group, term, isPlanned, waitMs),
+      publishOutcome: (group, endpoint, term) => this.#publishOutcome(group, endpoint, term)
+    }
+  }
+
+  #createPoll (sequence: number): Poll {
+    const { self, configuration, directory } = this.#options
+    return { type: 'poll', sequence, vm: self, configurationVersion: configuration.version, endpointsAsOf: directory.asOf }
+  }
+
+  #createReport (poll: Poll): Report {
+    const { clock, configuration, directory, groups, quotas } = this.#options
+    const nowMs = clock.readNow()
+    const report: Report = {
+      type: 'report',
+      sequence: poll.sequence,
+      groups: groups.list().map(g => createGroupReport(g, nowMs)).filter(g => g !== undefined),
+      demand: quotas.listDemand(),
+      endpointsAsOf: directory.asOf
+    }
+    if (configuration.current !== null && configuration.version > poll.configurationVersion) report.configuration = configuration.current
+    return report
+  }
+
+  #applyReport (vm: string, report: Report, askedAtMs: number): void {
+    const { configuration, groups, quotas } = this.#options
+    if (report.configuration !== undefined) configuration.apply(report.configuration, `vm ${vm}`)
+    for (const g of report.groups) {
+      const group = groups.find(g.service)
+      if (group !== undefined) applyGroupReport(group, vm, g, askedAtMs)
+    }
+    quotas.recordVmDemand(vm, report.demand)
+  }
+
+  #handleMessage (vm: string, message: FleetMessage): void {
+    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, message.acknowledged)
+    else if (message.type === 'promoted') this.#handleOutcome(vm, message)
+    else if (message.type === 'revoke') {
+      this.#handleRevoke(vm, message).catch((error: unknown) => this.#options.logger.error('revocation failed', { error: String(error) }))
+    }
+  }
+
+  async #handleRevoke (vm: string, message: Extract<FleetMessage, { type: 'revoke' }>): Promise<void> {
+    const { service, endpoint, term, attempt, isPlanned } = message
+    const group = this.#options.groups.find(service)
+    if (group !== undefined) {
+      this.#options.logger.info('trust revoked', { service, endpoint, term, for: vm })
+      await this.#revokeOwn(group, endpoint, term, isPlanned)
+    }
+    this.#fleet?.send(vm, { type: 'revoked', service, attempt, acknowledged: group?.state.acknowledged ?? undefined })
+  }
+
+  async #revokeOwn (group: ServiceGroup, endpoint: string, term: number, isPlanned: boolean): Promise<void> {
+    revokeTrust(group.state, endpoint, term, this.#options.clock.readNow())
+    if (isPlanned) await group.waitUntil(() => group.writesInFlight === 0, WRITES_WAIT_MS)
+  }
+
+  async #revoke (group: ServiceGroup, term: number, isPlanned: boolean, waitMs: number): Promise<Revocation> {
+    const { clock, members, self } = this.#options
+    const endpoint = group.state.primary?.endpoint ?? ''
+    const attempt = `${self.vm}-${self.incarnation}-${++this.#attempts}`
+    const vms = listPossible(members, clock.readNow()).map(m => m.entry.vm)
+    const collecting = this.#revocations.collect(attempt, vms, waitMs)
+    for (const vm of vms) this.#fleet?.send(vm, { type: 'revoke', service: group.service, endpoint, term, attempt, isPlanned })
+    await this.#revokeOwn(group, endpoint, term, isPlanned)
+    const revocation = await collecting
+    const { acknowledged } = group.state
+    const isOwnLater = acknowledged !== null && (revocation.acknowledged === null || acknowledged.index > revocation.acknowledged.index)
+    return { ...revocation, acknowledged: isOwnLater ? acknowledged : revocation.acknowledged }
+  }
+
+  #publishOutcome (group: ServiceGroup, endpoint: string | null, term: number): void {
+    const message = { type: 'promoted' as const, service: group.service, endpoint: endpoint ?? undefined, term }
+    for (const vm of this.#options.members.members.keys()) this.#fleet?.send(vm, message)
+    this.#handleOutcome(this.#options.self.vm, message)
+  }
+
+  #handleOutcome (vm: string, { service, endpoint, term }: Extract<FleetMessage, { type: 'promoted' }>): void {
+    const group = this.#options.groups.find(service)
+    if (group === undefined) return
+    if (endpoint === undefined) {
+      if (isRevoked(group.state, this.#options.clock.readNow())) restoreTrust(group.state)
+      group.publishChange()
+      return
+    }
+    this.#failover?.recordChange(service)
+    group.adoptPrimary(endpoint, term, `promoted by ${vm}`)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -0,0 +1,169 @@
+import type { Clock, Hello, Logger, PeerNetwork } from '@camphorpitch/wire'
+import type { z } from 'zod'
+import { RevisionConflictError, type MetadataStore } from '../metadata/metadata-store.ts'
+import { watchKind, type KindWatch } from '../metadata/watch-kind.ts'
+import { addMember, FORGET_AFTER_MS, isHeard, listPolled, listPossible, recordReport, removeMember, type MemberState } from './members.ts'
+import { fleetMessageSchema, vmEntrySchema, type FleetMessage, type pollSchema, type Report } from './messages.ts'
+
+export const FLEET_SLICE = 'fleet'
+/** Time between two rounds of polls, in milliseconds. */
+const POLL_INTERVAL_MS = 500
+/** VMs seldom come and go, and polls tell of new ones as well; in milliseconds. */
+const VMS_WATCH_MS = 15_000
+const REGISTER_RETRY_MS = 700
+const SWEEP_ROUNDS = 20
+/** Polls whose sending time is kept. */
+const MOST_POLLS = 64
+
+export type Poll = z.infer<typeof pollSchema>
+
+export interface FleetOptions {
+  state: MemberState
+  network: PeerNetwork
+  store: MetadataStore
+  clock: Clock
+  logger: Logger
+  /** What this VM knows that a poll says less of. */
+  createReport: (poll: Poll) => Report
+  createPoll: (sequence: number) => Poll
+  applyReport: (vm: string, report: Report, askedAtMs: number) => void
+  handleMessage: (vm: string, message: FleetMessage) => void
+  handleRound: () => void
+}
+
+/** Knows the other VMs, and exchanges reports with them. */
+export class Fleet {
+  readonly #options: FleetOptions
+  readonly #polls = new Map<number, number>()
+  #sequence = 0
+  #round = 0
+  #timer: NodeJS.Timeout | undefined
+  #watch: KindWatch | undefined
+  #ownRevision: number | null = null
+  #isStopped = false
+
+  constructor (options: FleetOptions) {
+    this.#options = options
+  }
+
+  get isRegistered (): boolean {
+    return this.#ownRevision !== null
+  }
+
+  start (): void {
+    const { network, store, logger } = this.#options
+    network.subscribe(FLEET_SLICE, (from, body) => this.#receive(from, body))
+    this.#watch = watchKind({
+      store,
+      logger,
+      kind: 'vms',
+      waitMs: VMS_WATCH_MS,
+      applyListing: ({ items }) => { for (const item of items) this.#addEntry(item.value) },
+      applyChanges: changes => {
+        for (const { object, isRemoved } of changes) {
+          if (isRemoved) removeMember(this.#options.state, object.name)
+          else this.#addEntry(object.value)
+        }
+      }
+    })
+    this.#register().catch((error: unknown) => logger.error('registration ended', { error: String(error) }))
+    this.#timer = setInterval(() => this.#startRound(), POLL_INTERVAL_MS)
+  }
+
+  /** Polls now, as something depends on fresh reports. */
+  poll (): void {
+    const { state, network, clock, createPoll } = this.#options
+    const poll = createPoll(++this.#sequence)
+    this.#polls.set(this.#sequence, clock.readNow())
+    this.#polls.delete(this.#sequence - MOST_POLLS)
+    for (const { entry } of listPolled(state, this.#round)) network.send(entry.vm, FLEET_SLICE, poll)
+  }
+
+  send (vm: string, message: FleetMessage): void {
+    this.#options.network.send(vm, FLEET_SLICE, message)
+  }
+
+  /** Removes this VM's entry, as it ends for good or starts anew. */
+  async stop (): Promise<void> {
+    this.#isStopped = true
+    clearInterval(this.#timer)
+    this.#watch?.stop()
+  }
+
+  #startRound (): void {
+    this.#round++
+    this.poll()
+    this.#options.handleRound()
+    if (this.#round % SWEEP_ROUNDS === 0) this.#removeForgotten()
+  }
+
+  #receive (from: Hello, body: unknown): void {
+    const { logger, network, createReport, handleMessage } = this.#options
+    const parsed = fleetMessageSchema.safeParse(body)
+    if (!parsed.success) {
+      logger.warn('malformed message of a VM', { vm: from.vm, reason: parsed.error.message })
+      return
+    }
+    const message = parsed.data
+    if (message.type === 'poll') {
+      this.#addEntry(message.vm)
+      network.send(from.vm, FLEET_SLICE, createReport(message))
+    } else if (message.type === 'report') this.#receiveReport(from.vm, message)
+    else handleMessage(from.vm, message)
+  }
+
+  #receiveReport (vm: string, report: Report): void {
+    const askedAtMs = this.#polls.get(report.sequence)
+    if (askedAtMs === undefined) return
+    const { state, clock, logger, applyReport } = this.#options
+    const member = state.members.get(vm)
+    if (member !== undefined && !isHeard(member, clock.readNow())) logger.info('vm heard', { vm })
+    recordReport(state, vm, askedAtMs)
+    applyReport(vm, report, askedAtMs)
+  }
+
+  #addEntry (value: unknown): void {
+    const { state, clock, logger } = this.#options
+    const parsed = vmEntrySchema.safeParse(value)
+    if (!parsed.success) return
+    if (addMember(state, parsed.data, clock.readNow())) logger.info('vm known', { ...parsed.data })
+  }
+
+  async #register (): Promise<void> {
+    const { store, state: { self }, logger } = this.#options
+    for (let known: number | null = null; !this.#isStopped && this.#ownRevision === null;) {
+      try {
+        this.#ownRevision = await store.write('vms', self.vm, self, known)
+        logger.info('registered', { vm: self.vm })
+      } catch (error) {
+        known = error instanceof RevisionConflictError ? await this.#findOwnRevision() : known
+        if (!(error instanceof RevisionConflictError)) await new Promise(resolve => setTimeout(resolve, REGISTER_RETRY_MS))
+      }
+    }
+  }
+
+  async #findOwnRevision (): Promise<number | null> {
+    const { store, state: { self }, logger } = this.#options
+    try {
+      return (await store.find('vms', self.vm))?.revision ?? null
+    } catch (error) {
+      logger.info('own entry not read', { reason: String(error) })
+      return null
+    }
+  }
+
+  /** VMs that have been silent for long have gone for good. */
+  #removeForgotten (): void {
+    const { state, clock, store, logger } = this.#options
+    const nowMs = clock.readNow()
+    const possible = new Set(listPossible(state, nowMs))
+    for (const member of state.members.values()) {
+      if (possible.has(member) || nowMs - Math.max(member.heardAtMs, member.knownSinceMs) < FORGET_AFTER_MS) continue
+      const { vm } = member.entry
+      store.find('vms', vm).then(async found => { if (found !== undefined) await store.delete('vms', vm, found.revision) })
+        .catch((error: unknown) => logger.info('entry of a lost vm not removed', { vm, reason: String(error) }))
+      removeMember(state, vm)
+      logger.info('vm forgotten', { vm })
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/groups/group-table.ts
@@ -0,0 +1,80 @@
+import type { Clock, Logger } from '@camphorpitch/wire'
+import type { EndpointConnector } from '../backend/endpoint-connector.ts'
+import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
+import type { DirectoryChange } from '../directory/directory.ts'
+import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+import { listHeard, type MemberState } from '../fleet/members.ts'
+import type { ConnectionLimits } from '../pool/connection-plan.ts'
+import { computeConnectionShare } from '../pool/connection-share.ts'
+import { ServiceGroup } from './service-group.ts'
+
+/** Assumed where the configuration does not name the service. */
+const DEFAULT_MAX_CONNECTIONS = 10
+
+export interface GroupTableOptions {
+  connector: EndpointConnector
+  clock: Clock
+  logger: Logger
+  configuration: ConfigurationHolder
+  members: MemberState
+  recordOpened: (service: string) => void
+  /** An endpoint newly says that it leads. */
+  checkRole: (group: ServiceGroup, entry: EndpointEntry) => void
+}
+
+/** The groups of all services with registered endpoints. */
+export class GroupTable {
+  readonly #options: GroupTableOptions
+  readonly #groups = new Map<string, ServiceGroup>()
+
+  constructor (options: GroupTableOptions) {
+    this.#options = options
+  }
+
+  find (service: string): ServiceGroup | undefined {
+    return this.#groups.get(service)
+  }
+
+  list (): ServiceGroup[] {
+    return [...this.#groups.values()]
+  }
+
+  /** Takes in what has changed in the directory. */
+  applyChanges (changes: readonly DirectoryChange[]): void {
+    for (const { event, entry } of changes) {
+      if (event === 'lapsed') continue
+      this.#options.logger.info(`endpoint ${event}`, { ...entry })
+      const group = this.#ensureGroup(entry.service)
+      if (event === 'removed') group.removeEntry(entry.endpoint)
+      else this.#updateEntry(group, entry)
+    }
+  }
+
+  #updateEntry (group: ServiceGroup, entry: EndpointEntry): void {
+    group.updateEntry(entry)
+    const { primary } = group.state
+    const isLeader = primary?.endpoint === entry.endpoint
+    if (isLeader) group.drainingSinceMs = entry.isDraining ? group.drainingSinceMs ?? this.#options.clock.readNow() : null
+    else if (entry.role === 'primary') this.#options.checkRole(group, entry)
+  }
+
+  #ensureGroup (service: string): ServiceGroup {
+    const known = this.#groups.get(service)
+    if (known !== undefined) return known
+    const { connector, clock, logger, recordOpened } = this.#options
+    const group = new ServiceGroup({ service, connector, clock, logger, readLimits: (g, e) => this.#readLimits(g, e), recordOpened: () => recordOpened(service) })
+    this.#groups.set(service, group)
+    return group
+  }
+
+  #readLimits (group: ServiceGroup, entry: EndpointEntry): ConnectionLimits {
+    const { configuration, members, clock } = this.#options
+    const service = configuration.current?.services.find(s => s.name === group.service)
+    const { self } = members
+    const heard = listHeard(members, clock.readNow())
+    const isLocal = self.failureDomain === entry.failureDomain
+    const localVms = heard.filter(m => m.entry.failureDomain === entry.failureDomain).length + (isLocal ? 1 : 0)
+    const isPrimary = group.state.primary?.endpoint === entry.endpoint
+    return computeConnectionShare({ maxConnections: service?.maxConnections ?? DEFAULT_MAX_CONNECTIONS, vms: heard.length + 1, localVms, isLocal, isPrimary })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/limits/demand-shares.ts
@@ -0,0 +1,44 @@
+import { computeQuotaShare, type Demand } from './quota.ts'
+
+/** A report of a VM counts for this long after it was last heard, in milliseconds. */
+const REPORT_LIFE_MS = 20_000
+
+interface VmDemand { demand: Demand, heardAtMs: number }
+
+/** What each VM was asked for, as the shares of the limits follow from it. */
+export interface DemandShares {
+  own: Demand
+  others: Map<string, VmDemand>
+}
+
+export function createDemandShares (): DemandShares {
+  return { own: new Map(), others: new Map() }
+}
+
+/**
+ * Takes in this VM's demand. While not every VM hears it, its part must not grow: the others count with
+ * what they last heard.
+ */
+export function updateOwnDemand (shares: DemandShares, demand: Demand, isHeardByAll: boolean): void {
+  if (isHeardByAll) {
+    shares.own = demand
+    return
+  }
+  shares.own = new Map([...demand].map(([name, count]) => [name, Math.min(count, shares.own.get(name) ?? 0)]))
+}
+
+export function recordVmDemand (shares: DemandShares, vm: string, demand: Demand, nowMs: number): void {
+  shares.others.set(vm, { demand, heardAtMs: nowMs })
+}
+
+export function sweepDemand (shares: DemandShares, nowMs: number): void {
+  for (const [vm, { heardAtMs }] of shares.others) if (nowMs - heardAtMs > REPORT_LIFE_MS) shares.others.delete(vm)
+}
+
+/** This VM's part of a workspace's limit among `vms` VMs. */
+export function readQuotaShare (shares: DemandShares, workspace: string, vms: number): number {
+  const own = shares.own.get(workspace) ?? 0
+  let total = own
+  for (const { demand } of shares.others.values()) total += demand.get(workspace) ?? 0
+  return computeQuotaShare({ own, total, vms })
+}
--- /dev/null
+++ b/packages/gateway/src/limits/demand-window.ts
@@ -0,0 +1,35 @@
+/** Parts into which a window is counted. */
+const PARTS = 10
+
+/** Counts events by name over a sliding window. */
+export interface DemandWindow {
+  partMs: number
+  parts: Array<{ index: number, counts: Map<string, number> }>
+}
+
+/** @example createDemandWindow(5_000) */
+export function createDemandWindow (windowMs: number): DemandWindow {
+  return { partMs: windowMs / PARTS, parts: [] }
+}
+
+export function recordDemand (window: DemandWindow, name: string, nowMs: number): void {
+  const index = Math.floor(nowMs / window.partMs)
+  let part = window.parts.at(-1)
+  if (part === undefined || part.index !== index) {
+    part = { index, counts: new Map() }
+    window.parts.push(part)
+    while ((window.parts[0]?.index ?? index) <= index - PARTS) window.parts.shift()
+  }
+  part.counts.set(name, (part.counts.get(name) ?? 0) + 1)
+}
+
+/** Events of the last window, by name. */
+export function sumDemand (window: DemandWindow, nowMs: number): Map<string, number> {
+  const oldest = Math.floor(nowMs / window.partMs) - PARTS
+  const sums = new Map<string, number>()
+  for (const { index, counts } of window.parts) {
+    if (index <= oldest) continue
+    for (const [name, count] of counts) sums.set(name, (sums.get(name) ?? 0) + count)
+  }
+  return sums
+}
--- /dev/null
+++ b/packages/gateway/src/limits/quota-keeper.ts
@@ -0,0 +1,58 @@
+import type { Clock } from '@camphorpitch/wire'
+import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
+import { isHeard, type MemberState } from '../fleet/members.ts'
+import type { GatewaySettings } from '../settings.ts'
+import { createDemandShares, readQuotaShare, recordVmDemand, sweepDemand, updateOwnDemand } from './demand-shares.ts'
+import { createDemandWindow, recordDemand, sumDemand } from './demand-window.ts'
+import { admitOperation, createQuotaState, updateQuotas, type QuotaVerdict } from './quota.ts'
+
+const MS_PER_SECOND = 1_000
+
+export interface QuotaKeeperOptions {
+  settings: GatewaySettings
+  clock: Clock
+  configuration: ConfigurationHolder
+  members: MemberState
+}
+
+/** Counts operations against this VM's parts of the workspaces' limits. */
+export class QuotaKeeper {
+  readonly #options: QuotaKeeperOptions
+  readonly #state
+  readonly #window
+  readonly #shares = createDemandShares()
+
+  constructor (options: QuotaKeeperOptions) {
+    this.#options = options
+    const { quota, isFirstStart } = options.settings
+    const windowMs = quota.windowS * MS_PER_SECOND
+    this.#state = createQuotaState({ windowMs, overshoot: quota.overshoot, slack: quota.slack }, isFirstStart)
+    this.#window = createDemandWindow(windowMs)
+  }
+
+  admit (workspace: string): QuotaVerdict {
+    const nowMs = this.#options.clock.readNow()
+    recordDemand(this.#window, workspace, nowMs)
+    return admitOperation(this.#state, workspace, nowMs)
+  }
+
+  /** What this VM was asked for, as it tells the others. */
+  listDemand (): Array<[string, number]> {
+    return [...this.#shares.own]
+  }
+
+  recordVmDemand (vm: string, demand: ReadonlyArray<[string, number]>): void {
+    recordVmDemand(this.#shares, vm, new Map(demand), this.#options.clock.readNow())
+  }
+
+  /** Takes in the demand of the last window, and the limits as they stand. */
+  update (): void {
+    const { clock, members, configuration } = this.#options
+    const nowMs = clock.readNow()
+    const all = [...members.members.values()]
+    updateOwnDemand(this.#shares, sumDemand(this.#window, nowMs), all.every(m => isHeard(m, nowMs)))
+    sweepDemand(this.#shares, nowMs)
+    const vms = all.length + 1
+    updateQuotas(this.#state, configuration.current?.workspaces ?? [], workspace => readQuotaShare(this.#shares, workspace, vms), nowMs)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/pool/endpoint-pool.ts
@@ -0,0 +1,200 @@
+import type { Clock, Logger } from '@camphorpitch/wire'
+import type { EndpointConnector } from '../backend/endpoint-connector.ts'
+import { ConnectionLostError, EndpointRefusedError } from '../backend/errors.ts'
+import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+import { planConnections, type ConnectionLimits, type ConnectionSlot, type PlannedStep, type Waiter } from './connection-plan.ts'
+import { createHealth, recordConnected, recordRefused, recordSent, recordUnanswered, type EndpointHealth } from './endpoint-health.ts'
+import { PoolError, type PoolRefusal } from './errors.ts'
+import { PooledConnection } from './pooled-connection.ts'
+
+/** Time for a connection attempt, in milliseconds; a new connection takes some tens of them across regions. */
+const CONNECT_TIMEOUT_MS = 900
+/** After an endpoint refused a connection as one too many, in milliseconds. */
+const TOO_MANY_PAUSE_MS = 150
+/** After a connection attempt that failed, in milliseconds. */
+const FAILED_PAUSE_MS = 200
+
+export interface AcquireOptions {
+  workspace: string
+  session: string
+  priority: number
+  /** Longest wait, in milliseconds. */
+  waitMs: number
+}
+
+interface PendingAcquire {
+  waiter: Waiter
+  timer: NodeJS.Timeout
+  resolve: (connection: PooledConnection) => void
+  reject: (error: Error) => void
+}
+
+export interface EndpointPoolOptions {
+  entry: EndpointEntry
+  connector: EndpointConnector
+  clock: Clock
+  logger: Logger
+  readLimits: (entry: EndpointEntry) => ConnectionLimits
+  recordOpened: () => void
+}
+
+interface HeldSlot extends ConnectionSlot { connection: PooledConnection | null }
+
+/** This VM's connections to one endpoint, and who waits for them. */
+export class EndpointPool {
+  entry: EndpointEntry
+  readonly health: EndpointHealth = createHealth()
+  readonly #options: EndpointPoolOptions
+  readonly #slots = new Map<number, HeldSlot>()
+  readonly #waiting = new Map<number, PendingAcquire>()
+  #lastId = 0
+  #mayOpenAtMs = -Infinity
+  #isStopped = false
+
+  constructor (options: EndpointPoolOptions) {
+    this.entry = options.entry
+    this.#options = options
+  }
+
+  get open (): number {
+    return this.#slots.size
+  }
+
+  get waiting (): number {
+    return this.#waiting.size
+  }
+
+  countBusy (): number {
+    let busy = 0
+    for (const s of this.#slots.values()) if (s.state === 'busy') busy++
+    return busy
+  }
+
+  /** Whether a request of the workspace would find an idle connection. */
+  hasIdle (workspace: string): boolean {
+    for (const s of this.#slots.values()) if (s.state === 'idle' && s.workspace === workspace) return true
+    return false
+  }
+
+  /** @throws PoolError when no connection is to be had in time */
+  async acquire ({ workspace, session, priority, waitMs }: AcquireOptions): Promise<PooledConnection> {
+    if (this.#isStopped) throw new PoolError('endpoint is gone', { props: { refusal: 'gone' } })
+    const nowMs = this.#options.clock.readNow()
+    return await new Promise((resolve, reject) => {
+      const id = ++this.#lastId
+      const timer = setTimeout(() => this.#refuse(id, 'busy', 'no connection became free in time'), waitMs)
+      this.#waiting.set(id, { waiter: { id, workspace, session, priority, sinceMs: nowMs, deadlineMs: nowMs + waitMs }, timer, resolve, reject })
+      this.runPlan()
+    })
+  }
+
+  /** Gives a connection back; one in doubt is closed. */
+  release (connection: PooledConnection, isReusable: boolean): void {
+    const slot = this.#slots.get(connection.id)
+    if (slot === undefined) return
+    if (!isReusable || this.#isStopped || !connection.connection.isOpen) return this.#closeSlot(slot)
+    slot.state = 'idle'
+    slot.session = connection.session
+    slot.usedAtMs = this.#options.clock.readNow()
+    this.runPlan()
+  }
+
+  /** Grants, opens and closes what the plan says; called on every change and from time to time. */
+  runPlan (): void {
+    const { clock, readLimits } = this.#options
+    const nowMs = clock.readNow()
+    const waiters = [...this.#waiting.values()].map(w => w.waiter)
+    const canOpen = nowMs >= this.#mayOpenAtMs && !this.#isStopped
+    for (const step of planConnections([...this.#slots.values()], waiters, readLimits(this.entry), canOpen, nowMs)) this.#runStep(step)
+  }
+
+  /** Takes no further requests; idle connections end now, others when they are released. */
+  stop (): void {
+    this.#isStopped = true
+    for (const id of [...this.#waiting.keys()]) this.#refuse(id, 'gone', 'endpoint is gone')
+    for (const slot of [...this.#slots.values()]) if (slot.state === 'idle') this.#closeSlot(slot)
+  }
+
+  #runStep (step: PlannedStep): void {
+    if (step.type === 'open') return this.#openConnection(step.workspace)
+    const slot = this.#slots.get(step.slot.id)
+    if (slot === undefined) return
+    if (step.type === 'close') return this.#closeSlot(slot)
+    const pending = this.#waiting.get(step.waiter.id)
+    if (pending === undefined || slot.connection === null) return
+    this.#waiting.delete(step.waiter.id)
+    clearTimeout(pending.timer)
+    slot.state = 'busy'
+    slot.session = step.waiter.session
+    pending.resolve(slot.connection)
+  }
+
+  #openConnection (workspace: string): void {
+    const { connector, clock, recordOpened } = this.#options
+    const { endpoint, service, address } = this.entry
+    const slot: HeldSlot = { id: ++this.#lastId, workspace, session: null, state: 'opening', usedAtMs: clock.readNow(), connection: null }
+    this.#slots.set(slot.id, slot)
+    const sentAtMs = clock.readNow()
+    recordSent(this.health, sentAtMs)
+    recordOpened()
+    connector.connect({ endpoint, service, address, workspace }, CONNECT_TIMEOUT_MS).then(connection => {
+      recordConnected(this.health, clock.readNow())
+      slot.connection = new PooledConnection(slot.id, endpoint, connection)
+      slot.state = 'idle'
+      slot.usedAtMs = clock.readNow()
+      connection.subscribeClose(() => this.#handleClosed(slot.id))
+      if (this.#isStopped) this.#closeSlot(slot)
+      else this.runPlan()
+    }, (error: unknown) => this.#handleOpenFailure(slot, error, sentAtMs))
+  }
+
+  #handleOpenFailure (slot: HeldSlot, error: unknown, sentAtMs: number): void {
+    const { clock, logger } = this.#options
+    const nowMs = clock.readNow()
+    this.#slots.delete(slot.id)
+    const reason = error instanceof Error ? error.message : String(error)
+    logger.info('endpoint connection failed', { endpoint: this.entry.endpoint, workspace: slot.workspace, reason, afterMs: Math.round(nowMs - sentAtMs) })
+    if (error instanceof EndpointRefusedError) return this.#handleRefusal(error.code, nowMs)
+    recordUnanswered(this.health, nowMs)
+    if (error instanceof ConnectionLostError && error.isRefused) recordRefused(this.health, nowMs)
+    this.#mayOpenAtMs = nowMs + FAILED_PAUSE_MS
+    this.#schedulePlan(FAILED_PAUSE_MS)
+    if (this.#slots.size === 0) this.#refuseAll('unreachable', reason)
+  }
+
+  #handleRefusal (code: string, nowMs: number): void {
+    recordConnected(this.health, nowMs)
+    if (code === 'misrouted') {
+      this.#mayOpenAtMs = nowMs + CONNECT_TIMEOUT_MS
+      return this.#refuseAll('unreachable', 'another service answers at the address')
+    }
+    this.#mayOpenAtMs = nowMs + TOO_MANY_PAUSE_MS
+    this.#schedulePlan(TOO_MANY_PAUSE_MS)
+  }
+
+  #schedulePlan (afterMs: number): void {
+    setTimeout(() => this.runPlan(), afterMs + 1).unref()
+  }
+
+  #refuseAll (refusal: PoolRefusal, reason: string): void {
+    for (const id of [...this.#waiting.keys()]) this.#refuse(id, refusal, reason)
+  }
+
+  #refuse (id: number, refusal: PoolRefusal, reason: string): void {
+    const pending = this.#waiting.get(id)
+    if (pending === undefined) return
+    this.#waiting.delete(id)
+    clearTimeout(pending.timer)
+    pending.reject(new PoolError(reason, { props: { refusal } }))
+  }
+
+  #closeSlot (slot: HeldSlot): void {
+    this.#slots.delete(slot.id)
+    slot.connection?.connection.close()
+    if (!this.#isStopped && this.#waiting.size > 0) this.runPlan()
+  }
+
+  #handleClosed (id: number): void {
+    if (this.#slots.delete(id) && this.#waiting.size > 0) this.runPlan()
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/routing/select-endpoint.ts
@@ -0,0 +1,50 @@
+/** An endpoint that may run a read, with what is known of its load. */
+export interface ReadCandidate {
+  endpoint: string
+  isPrimary: boolean
+  isDraining: boolean
+  /** 0 in this VM's failure domain, 1 in its region, 2 elsewhere. */
+  distance: 0 | 1 | 2
+  slots: number
+  /** Statements of this VM that run there or wait for a connection. */
+  load: number
+  /** Average time to an answer; `null` before the first. */
+  answerMs: number | null
+  /** Whether a connection of the workspace is idle. */
+  hasIdle: boolean
+  isAvoided: boolean
+  isWarmingUp: boolean
+}
+
+/** Time to an answer from an endpoint not yet used, in milliseconds, by distance. */
+const UNKNOWN_ANSWER_MS = [25, 30, 45] as const
+/** Time to open a connection, in milliseconds, by distance. */
+const CONNECT_MS = [14, 18, 50] as const
+/** The primary's slots are kept for writes unless replicas are this much slower, in milliseconds. */
+const PRIMARY_PENALTY_MS = 30
+const WARM_UP_FACTOR = 1.6
+/** Above any sum of the times: such endpoints are a last resort. */
+const AVOIDED_PENALTY_MS = 10_000
+const DRAINING_PENALTY_MS = 100_000
+
+/** @example estimateAnswerMs(candidate) // 31 */
+export function estimateAnswerMs (c: ReadCandidate): number {
+  const answerMs = (c.answerMs ?? UNKNOWN_ANSWER_MS[c.distance]) * (c.isWarmingUp ? WARM_UP_FACTOR : 1)
+  const queueMs = answerMs * c.load / c.slots
+  const connectMs = c.hasIdle ? 0 : CONNECT_MS[c.distance]
+  const penaltyMs = (c.isPrimary ? PRIMARY_PENALTY_MS : 0) + (c.isAvoided ? AVOIDED_PENALTY_MS : 0) + (c.isDraining ? DRAINING_PENALTY_MS : 0)
+  return answerMs + queueMs + connectMs + penaltyMs
+}
+
+/** The endpoint that is likely to answer first; `undefined` without any. */
+export function selectEndpoint (candidates: readonly ReadCandidate[]): ReadCandidate | undefined {
+  let best: ReadCandidate | undefined
+  let bestMs = Infinity
+  for (const candidate of candidates) {
+    const ms = estimateAnswerMs(candidate)
+    if (ms >= bestMs) continue
+    best = candidate
+    bestMs = ms
+  }
+  return best
+}
--- /dev/null
+++ b/packages/gateway/src/sessions/authenticate.ts
@@ -0,0 +1,21 @@
+import type { AnswerError } from '../backend/statement.ts'
+import type { Configuration, Route } from '../configuration/configuration.ts'
+
+/** Name under which statements on public routes run for clients without a key. */
+export const ANONYMOUS_WORKSPACE = '-'
+
+export type Admission = { route: Route, workspace: string } | { error: AnswerError }
+
+/**
+ * Finds the route of a database and the workspace of a key, as one version of the configuration has them.
+ *
+ * @example authenticate(configuration, 'orders', 'u3f1') // { route, workspace: 'lab' }
+ */
+export function authenticate (configuration: Configuration, database: string, key: string): Admission {
+  const route = configuration.routes.find(r => r.database === database)
+  if (route === undefined) return { error: { code: 'noDatabase', text: `no database ${database}` } }
+  const workspace = configuration.workspaces.find(w => w.keys.includes(key))
+  if (workspace !== undefined) return { route, workspace: workspace.name }
+  if (route.isPublic) return { route, workspace: ANONYMOUS_WORKSPACE }
+  return { error: { code: 'noAuth', text: 'unknown key' } }
+}
--- /dev/null
+++ b/packages/gateway/src/sessions/decide-statement.ts
@@ -0,0 +1,78 @@
+import type { AnswerError, ClientStatement, TransactionState } from '../backend/statement.ts'
+import type { PreparedStatement } from '../pool/pooled-connection.ts'
+
+/** What a session holds for its client. */
+export interface SessionState {
+  transaction: TransactionState
+  /** Whether the open transaction only reads. */
+  isReadOnly: boolean
+  values: Map<string, string>
+  prepared: Map<string, PreparedStatement>
+}
+
+/** What a statement asks for. */
+export type StatementPlan =
+  | { type: 'answer', error: AnswerError | null }
+  /** Answered now; an endpoint hears of it with the first statement. */
+  | { type: 'begin' }
+  | { type: 'run', isWrite: boolean, preparedName: string | null }
+  | { type: 'commit' }
+  | { type: 'rollback' }
+  /** The transaction has failed: ending it, however asked for, keeps nothing. */
+  | { type: 'endFailed', isCommit: boolean }
+
+export function createSessionState (): SessionState {
+  return { transaction: 'idle', isReadOnly: false, values: new Map(), prepared: new Map() }
+}
+
+function answerError (code: AnswerError['code'], text: string): StatementPlan {
+  return { type: 'answer', error: { code, text } }
+}
+
+/**
+ * Decides what to do with a statement, and takes session values and prepared statements into the state.
+ *
+ * @example decideStatement(createSessionState(), { id: '1', text: 'READ 1a4', type: 'read' }) // { type: 'run', isWrite: false, preparedName: null }
+ */
+export function decideStatement (state: SessionState, statement: ClientStatement): StatementPlan {
+  if (state.transaction === 'failed') return decideInFailed(statement)
+  switch (statement.type) {
+    case 'begin': return decideBegin(state, statement.isReadOnly)
+    case 'commit':
+    case 'rollback': return state.transaction === 'idle' ? answerError('malformed', 'no transaction is open') : { type: statement.type }
+    case 'read': return { type: 'run', isWrite: false, preparedName: null }
+    case 'write': return decideWrite(state, null)
+    case 'execute': return decideExecute(state, statement.name)
+    default: return applySessionStatement(state, statement)
+  }
+}
+
+function decideInFailed (statement: ClientStatement): StatementPlan {
+  if (statement.type === 'commit' || statement.type === 'rollback') return { type: 'endFailed', isCommit: statement.type === 'commit' }
+  return answerError('malformed', 'the transaction has failed')
+}
+
+function decideBegin (state: SessionState, isReadOnly: boolean): StatementPlan {
+  if (state.transaction !== 'idle') return answerError('malformed', 'a transaction is open already')
+  state.transaction = 'open'
+  state.isReadOnly = isReadOnly
+  return { type: 'begin' }
+}
+
+function decideWrite (state: SessionState, preparedName: string | null): StatementPlan {
+  if (state.transaction === 'open' && state.isReadOnly) return answerError('readOnly', 'the transaction only reads')
+  return { type: 'run', isWrite: true, preparedName }
+}
+
+function decideExecute (state: SessionState, name: string): StatementPlan {
+  const prepared = state.prepared.get(name)
+  if (prepared === undefined) return answerError('noStatement', `no prepared statement ${name}`)
+  return prepared.mode === 'write' ? decideWrite(state, name) : { type: 'run', isWrite: false, preparedName: name }
+}
+
+function applySessionStatement (state: SessionState, statement: ClientStatement): StatementPlan {
+  if (statement.type === 'setValue') state.values.set(statement.name, statement.value)
+  else if (statement.type === 'prepare') state.prepared.set(statement.name, { mode: statement.mode, shape: statement.shape })
+  else if (statement.type === 'closeStatement') state.prepared.delete(statement.name)
+  return { type: 'answer', error: null }
+}
--- /dev/null
+++ b/packages/gateway/src/sessions/gateway-session-host.ts
@@ -0,0 +1,137 @@
+import type { Clock, Logger } from '@camphorpitch/wire'
+import type { AnswerError } from '../backend/statement.ts'
+import type { Configuration } from '../configuration/configuration.ts'
+import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
+import type { FailoverWatch } from '../failover/failover-watch.ts'
+import type { LeadershipQuestions } from '../failover/prove-leadership.ts'
+import type { GroupTable } from '../groups/group-table.ts'
+import type { ServiceGroup } from '../groups/service-group.ts'
+import type { QuotaKeeper } from '../limits/quota-keeper.ts'
+import type { GatewaySettings } from '../settings.ts'
+import { createRetryRefusal, type Operation, type Outcome } from '../statements/operation.ts'
+import { openTransaction, type OpenedTransaction } from '../statements/pinned-transaction.ts'
+import { runRead } from '../statements/run-read.ts'
+import { runWrite } from '../statements/run-write.ts'
+import type { StatementContext } from '../statements/statement-context.ts'
+import type { GatewayMetrics } from '../telemetry/gateway-metrics.ts'
+import type { ClientSession } from './client-session.ts'
+import type { SessionHost } from './session-host.ts'
+
+/** A client gives its session up when it is not accepted in two seconds. */
+const FIRST_CONFIGURATION_WAIT_MS = 1_500
+const ROLLBACK_TIMEOUT_MS = 1_000
+const DEFAULT_TRANSACTION_IDLE_MS = 3_000
+const NO_ENDPOINTS_RETRY_MS = 1_000
+const MS_PER_SECOND = 1_000
+
+export interface GatewaySessionHostOptions {
+  settings: GatewaySettings
+  clock: Clock
+  logger: Logger
+  metrics: GatewayMetrics
+  configuration: ConfigurationHolder
+  groups: GroupTable
+  quotas: QuotaKeeper
+  questions: LeadershipQuestions
+  failover: FailoverWatch
+  removeSession: (session: ClientSession) => void
+}
+
+/** Connects client sessions to the slices of the VM. */
+export class GatewaySessionHost implements SessionHost {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly #options: GatewaySessionHostOptions
+  readonly #context: StatementContext
+
+  constructor (options: GatewaySessionHostOptions) {
+    this.#options = options
+    this.clock = options.clock
+    this.logger = options.logger
+    this.#context = this.#createContext()
+  }
+
+  waitForConfiguration = async (): Promise<Configuration | null> => await this.#options.configuration.waitFirst(FIRST_CONFIGURATION_WAIT_MS)
+
+  readConfiguration = (): Configuration | null => this.#options.configuration.current
+
+  readTransactionIdleMs = (): number => this.#options.configuration.current?.transactionIdleMs ?? DEFAULT_TRANSACTION_IDLE_MS
+
+  admitOperation = (id: string, workspace: string): AnswerError | null => {
+    const { quotas, metrics } = this.#options
+    const verdict = quotas.admit(workspace)
+    if (verdict.isAdmitted) return null
+    metrics.quotaRefusals.inc({ workspace })
+    const { refusal } = createRetryRefusal('tooMany', 'over the workspace\'s rate', verdict.retryAfterMs)
+    this.logger.info('operation over its quota', { id, workspace, retryAfterMs: verdict.retryAfterMs })
+    return refusal
+  }
+
+  runRead = async (operation: Operation): Promise<Outcome> => {
+    const group = this.#findGroup(operation)
+    return group === undefined ? this.#refuseWithoutGroup(operation) : await runRead(this.#context, group, operation)
+  }
+
+  runWrite = async (operation: Operation): Promise<Outcome> => {
+    const group = this.#findGroup(operation)
+    return group === undefined ? this.#refuseWithoutGroup(operation) : await runWrite(this.#context, group, operation)
+  }
+
+  openTransaction = async (operation: Operation, isReadOnly: boolean): Promise<OpenedTransaction> => {
+    const group = this.#findGroup(operation)
+    return group === undefined ? this.#refuseWithoutGroup(operation) as OpenedTransaction : await openTransaction(this.#context, group, operation, isReadOnly)
+  }
+
+  recordOutcome = (operation: Operation, outcome: Outcome): void => {
+    const { metrics } = this.#options
+    const { route: { service }, statement, workspace, contents, receivedAtMs } = operation
+    const error = 'refusal' in outcome ? outcome.refusal : outcome.answer.error
+    const tookMs = this.clock.readNow() - receivedAtMs
+    metrics.statementSeconds.observe({ service, outcome: error === null ? 'answered' : 'error' }, tookMs / MS_PER_SECOND)
+    if (error === null) return
+    metrics.refusals.inc({ service, code: error.code })
+    this.logger.warn('statement not served', { id: statement.id, type: statement.type, session: contents.session, workspace, service, tookMs: Math.round(tookMs), ...error })
+  }
+
+  removeSession = (session: ClientSession): void => this.#options.removeSession(session)
+
+  #findGroup ({ route }: Operation): ServiceGroup | undefined {
+    return this.#options.groups.find(route.service)
+  }
+
+  #refuseWithoutGroup ({ route }: Operation): { refusal: AnswerError } {
+    return createRetryRefusal('busy', `no endpoint of ${route.service} is registered`, NO_ENDPOINTS_RETRY_MS)
+  }
+
+  #createContext (): StatementContext {
+    const { settings: { failureDomain, regions }, clock, logger, questions, failover } = this.#options
+    return {
+      clock,
+      location: { failureDomain, regions },
+      rollbackTimeoutMs: ROLLBACK_TIMEOUT_MS,
+      proveLeadership: async (group, waitMs) => await questions.prove(group, waitMs),
+      findPrimaryAgain: group => { questions.findPrimary(group).catch((error: unknown) => logger.error('primary not looked for', { error: String(error) })) },
+      estimateRecoveryMs: group => failover.estimateRecoveryMs(group),
+      logAttempt: (operation, pool, atLeast, answer) => {
+        const { statement, workspace, route, contents } = operation
+        const { entry, health } = pool
+        logger.info('statement placed', {
+          id: statement.id,
+          type: statement.type,
+          session: contents.session,
+          workspace,
+          route: route.name,
+          endpoint: entry.endpoint,
+          role: entry.role,
+          atLeast,
+          position: answer.position,
+          inFlight: health.inFlight,
+          averageMs: Math.round(health.answerMs ?? 0),
+          tookMs: Math.round(clock.readNow() - operation.receivedAtMs),
+          outcome: answer.error?.code ?? 'answered'
+        })
+      },
+      logLoss: (operation, pool, reason) => logger.warn('statement not answered', { id: operation.statement.id, type: operation.statement.type, endpoint: pool.entry.endpoint, reason, silenceMs: pool.health.unansweredSinceMs === null ? 0 : Math.round(clock.readNow() - pool.health.unansweredSinceMs) })
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/statements/read-targets.ts
@@ -0,0 +1,65 @@
+import { pickLaterPosition, type Clock, type LogPosition } from '@camphorpitch/wire'
+import { findRequiredPosition, isPrimaryFresh } from '../freshness/group-state.ts'
+import type { ServiceGroup } from '../groups/service-group.ts'
+import { isAvoided } from '../pool/endpoint-health.ts'
+import type { EndpointPool } from '../pool/endpoint-pool.ts'
+import { selectEndpoint, type ReadCandidate } from '../routing/select-endpoint.ts'
+import { readMaxStalenessMs, type Operation } from './operation.ts'
+
+/** Where this VM stands, for distances. */
+export interface Location {
+  failureDomain: string
+  /** Region of each failure domain. */
+  regions: Readonly<Record<string, string>>
+}
+
+/** An endpoint for a read, and the position that its log must hold. */
+export interface ReadTarget {
+  pool: EndpointPool
+  atLeast: LogPosition | null
+}
+
+/**
+ * Finds the endpoint for a read among those not tried yet.
+ *
+ * @returns `unproven` when neither a position nor the primary is known to be fresh enough
+ */
+export function findReadTarget (group: ServiceGroup, operation: Operation, tried: ReadonlySet<string>, location: Location, clock: Clock): ReadTarget | 'unproven' | 'none' {
+  const nowMs = clock.readNow()
+  const maxStalenessMs = readMaxStalenessMs(operation)
+  const required = findRequiredPosition(group.state, maxStalenessMs, nowMs)
+  if (required === undefined) return findPrimaryTarget(group, maxStalenessMs, tried, nowMs)
+  const { sessionPosition } = operation
+  const atLeast = sessionPosition === null ? required : pickLaterPosition(required, sessionPosition)
+  const candidates = [...group.pools.values()].filter(p => !tried.has(p.entry.endpoint)).map(p => describeCandidate(group, p, operation.workspace, location, nowMs))
+  const pool = group.pools.get(selectEndpoint(candidates)?.endpoint ?? '')
+  return pool === undefined ? 'none' : { pool, atLeast }
+}
+
+function findPrimaryTarget (group: ServiceGroup, maxStalenessMs: number, tried: ReadonlySet<string>, nowMs: number): ReadTarget | 'unproven' | 'none' {
+  const pool = group.primaryPool
+  if (pool === undefined || tried.has(pool.entry.endpoint)) return 'none'
+  return isPrimaryFresh(group.state, maxStalenessMs, nowMs) ? { pool, atLeast: null } : 'unproven'
+}
+
+function describeCandidate (group: ServiceGroup, pool: EndpointPool, workspace: string, location: Location, nowMs: number): ReadCandidate {
+  const { entry, health } = pool
+  return {
+    endpoint: entry.endpoint,
+    isPrimary: group.state.primary?.endpoint === entry.endpoint,
+    isDraining: entry.isDraining,
+    distance: measureDistance(location, entry.failureDomain),
+    slots: entry.slots,
+    load: pool.countBusy() + pool.waiting,
+    answerMs: health.answerMs,
+    hasIdle: pool.hasIdle(workspace),
+    isAvoided: isAvoided(health, nowMs),
+    isWarmingUp: entry.warmupLeftMs > 0
+  }
+}
+
+/** 0 in the same failure domain, 1 in the same region, 2 elsewhere. */
+export function measureDistance ({ failureDomain, regions }: Location, other: string): 0 | 1 | 2 {
+  if (failureDomain === other) return 0
+  return regions[failureDomain] !== undefined && regions[failureDomain] === regions[other] ? 1 : 2
+}
--- /dev/null
+++ b/packages/gateway/src/statements/run-write.ts
@@ -0,0 +1,59 @@
+import type { ServiceGroup } from '../groups/service-group.ts'
+import type { EndpointPool } from '../pool/endpoint-pool.ts'
+import { PoolError } from '../pool/errors.ts'
+import type { PooledConnection } from '../pool/pooled-connection.ts'
+import { computeTimeLeftMs, computeWaitMs, createRetryRefusal, type Operation, type Outcome } from './operation.ts'
+import type { StatementContext } from './statement-context.ts'
+
+/** When a write that found no free connection is worth repeating, in milliseconds. */
+const BUSY_RETRY_MS = 100
+
+export type Acquired = { pool: EndpointPool, connection: PooledConnection } | { refusal: { code: 'busy', text: string } }
+
+/** Gets a connection to the primary, waiting shortly for one, and for a primary. */
+export async function acquirePrimary (context: StatementContext, group: ServiceGroup, operation: Operation): Promise<Acquired> {
+  const { clock } = context
+  const recoveryMs = context.estimateRecoveryMs(group)
+  const waitMs = computeWaitMs(operation, clock.readNow())
+  if (!group.isWritable && (recoveryMs > waitMs || !await group.waitUntil(() => group.isWritable, waitMs))) {
+    return createRetryRefusal('busy', 'the service has no primary now', context.estimateRecoveryMs(group)) as Acquired
+  }
+  const pool = group.primaryPool
+  if (pool === undefined) return createRetryRefusal('busy', 'the service has no primary now', recoveryMs) as Acquired
+  const { workspace, contents, route } = operation
+  try {
+    const connection = await pool.acquire({ workspace, session: contents.session, priority: route.priority, waitMs: computeWaitMs(operation, clock.readNow()) })
+    if (!group.isWritable || group.primaryPool !== pool) {
+      pool.release(connection, true)
+      return createRetryRefusal('busy', 'the primary is being replaced', context.estimateRecoveryMs(group)) as Acquired
+    }
+    return { pool, connection }
+  } catch (error) {
+    if (!(error instanceof PoolError)) throw error
+    return createRetryRefusal('busy', error.message, error.refusal === 'busy' ? BUSY_RETRY_MS : context.estimateRecoveryMs(group)) as Acquired
+  }
+}
+
+/** Runs a single write. Once it is sent it is never repeated: without an answer its outcome is unknown. */
+export async function runWrite (context: StatementContext, group: ServiceGroup, operation: Operation): Promise<Outcome> {
+  const acquired = await acquirePrimary(context, group, operation)
+  if ('refusal' in acquired) return acquired
+  const { pool, connection } = acquired
+  const { contents, preparedName, statement } = operation
+  const restored = connection.restoreSession(contents, preparedName)
+  try {
+    const timeLeftMs = computeTimeLeftMs(operation, context.clock.readNow())
+    const answer = await group.runStatement(pool, true, timeLeftMs, async () => await connection.run(statement.id, statement.text, null))
+    await Promise.all(restored)
+    pool.release(connection, answer.state === 'idle')
+    context.logAttempt(operation, pool, null, answer)
+    if (answer.error?.code === 'readOnly') context.findPrimaryAgain(group)
+    return { answer, endpoint: pool.entry.endpoint }
+  } catch (error) {
+    for (const r of restored) r.catch(() => {}) // Lost with the connection, which is reported below.
+    pool.release(connection, false)
+    const reason = error instanceof Error ? error.message : String(error)
+    context.logLoss(operation, pool, reason)
+    return { refusal: { code: 'inDoubt', text: reason } }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -0,0 +1,31 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+const STATEMENT_BUCKETS_SECONDS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3]
+
+/** The metrics of one VM's gateway. */
+export interface GatewayMetrics {
+  registry: Registry
+  statementSeconds: Histogram<'service' | 'outcome'>
+  refusals: Counter<'service' | 'code'>
+  quotaRefusals: Counter<'workspace'>
+  connectionsOpened: Counter<'service'>
+  promotions: Counter<'service' | 'result'>
+  sessions: Gauge
+  configurationVersion: Gauge
+}
+
+/** Creates the metrics with a registry of their own. */
+export function createGatewayMetrics (): GatewayMetrics {
+  const registry = new Registry()
+  const registers = [registry]
+  return {
+    registry,
+    statementSeconds: new Histogram({ name: 'camphorpitch_gateway_statement_seconds', help: 'Time from a statement to its answer', labelNames: ['service', 'outcome'], buckets: STATEMENT_BUCKETS_SECONDS, registers }),
+    refusals: new Counter({ name: 'camphorpitch_gateway_refusals_total', help: 'Statements answered with an error, by code', labelNames: ['service', 'code'], registers }),
+    quotaRefusals: new Counter({ name: 'camphorpitch_gateway_quota_refusals_total', help: 'Operations refused for the workspace\'s rate', labelNames: ['workspace'], registers }),
+    connectionsOpened: new Counter({ name: 'camphorpitch_gateway_connections_opened_total', help: 'Connections opened to endpoints', labelNames: ['service'], registers }),
+    promotions: new Counter({ name: 'camphorpitch_gateway_promotions_total', help: 'Promotions attempted by this VM', labelNames: ['service', 'result'], registers }),
+    sessions: new Gauge({ name: 'camphorpitch_gateway_sessions', help: 'Open client sessions', registers }),
+    configurationVersion: new Gauge({ name: 'camphorpitch_gateway_configuration_version', help: 'Version in force', registers })
+  }
+}
--- a/packages/load/src/benchmarks/limits.ts
+++ b/packages/load/src/benchmarks/limits.ts
@@ -1,10 +1,8 @@
-import { createBucket, countAvailable, reserveTokens, spendReserved, type TokenBucket } from '../../../proxy/src/limits/token-bucket.ts'
 import { decideLimits, type LimitInput, type LimitState } from '../../../proxy/src/limits/decide-limits.ts'
 import type { LimitEffect } from '../../../proxy/src/limits/effects.ts'
-import { hashName } from '../../../proxy/src/membership/rendezvous-hash.ts'
 import { VirtualFleet } from '../../../proxy/src/limits/virtual-fleet.ts'
 import { computeLoadResult, startMovingLoad } from '../../../proxy/src/limits/virtual-load.ts'
-import type { Decide, Rate } from '@camphorpitch/wire'
+import { countAvailable, createBucket, type Decide, hashName, type Rate, reserveTokens, spendReserved, type TokenBucket } from '@camphorpitch/wire'
 import { pack } from 'msgpackr'
 
 /**
--- a/packages/proxy/src/configuration/watchers.ts
+++ b/packages/proxy/src/configuration/watchers.ts
@@ -1,5 +1,5 @@
+import { hashName, hashPair } from '@camphorpitch/wire'
 import { listPlaceable, type Member } from '../membership/membership-view.ts'
-import { hashName, hashPair } from '../membership/rendezvous-hash.ts'
 
 /** VMs that watch the object service at once. */
 export const MAX_WATCHERS = 9
--- a/packages/proxy/src/limits/assignment.ts
+++ b/packages/proxy/src/limits/assignment.ts
@@ -1,6 +1,5 @@
-import type { LimitOwners } from '@camphorpitch/wire'
+import { hashName, type LimitOwners } from '@camphorpitch/wire'
 import { listPlaceable, type Member } from '../membership/membership-view.ts'
-import { hashName } from '../membership/rendezvous-hash.ts'
 import type { LimitEffect } from './effects.ts'
 import type { VersionedOwners } from './messages.ts'
 import { stopCounting } from './ownership.ts'
--- a/packages/proxy/src/limits/ledger.ts
+++ b/packages/proxy/src/limits/ledger.ts
@@ -1,8 +1,6 @@
+import { computeRetryAfterMs, countAvailable, createBucket, isFull, releaseReserved, replaceRate, reserveTokens, spendReserved, type TokenBucket } from '@camphorpitch/wire'
 import type { Demand, DemandItem, Grant, GrantReport, Grants } from './messages.ts'
 import { findShareRate, type WorkspaceLimit } from './shares.ts'
-import {
-  computeRetryAfterMs, countAvailable, createBucket, isFull, releaseReserved, replaceRate, reserveTokens, spendReserved, type TokenBucket
-} from './token-bucket.ts'
 
 /** How long a granted token may be used, from the moment its entry VM asked. */
 export const TOKEN_LIFETIME_MS = 250
--- a/packages/proxy/src/limits/shares.ts
+++ b/packages/proxy/src/limits/shares.ts
@@ -1,6 +1,5 @@
-import type { Rate } from '@camphorpitch/wire'
+import { hashName, hashPair, type Rate } from '@camphorpitch/wire'
 import type { Member } from '../membership/membership-view.ts'
-import { hashName, hashPair } from '../membership/rendezvous-hash.ts'
 
 /** Groups of workspaces whose shares move together. */
 export const PARTITION_COUNT = 64
--- a/packages/proxy/src/limits/virtual-load.ts
+++ b/packages/proxy/src/limits/virtual-load.ts
@@ -1,5 +1,4 @@
-import type { Rate } from '@camphorpitch/wire'
-import { createBucket, countAvailable, reserveTokens, spendReserved } from './token-bucket.ts'
+import { countAvailable, createBucket, type Rate, reserveTokens, spendReserved } from '@camphorpitch/wire'
 import type { AdmissionRecord, VirtualFleet, VirtualVm } from './virtual-fleet.ts'
 
 const MOVE_INTERVAL_MS = 2_000
--- a/packages/proxy/src/membership/placement-table.ts
+++ b/packages/proxy/src/membership/placement-table.ts
@@ -1,5 +1,5 @@
+import { hashName, hashPair } from '@camphorpitch/wire'
 import { hashCandidates, selectFromHashed, SERVING_VM_COUNT, type Candidate, type HashedCandidate } from './placement.ts'
-import { hashName, hashPair } from './rendezvous-hash.ts'
 
 /** A database to place, with the regions of its endpoints. */
 export interface PlacedDatabase {
--- a/packages/proxy/src/membership/placement.ts
+++ b/packages/proxy/src/membership/placement.ts
@@ -1,4 +1,4 @@
-import { hashName, hashPair } from './rendezvous-hash.ts'
+import { hashName, hashPair } from '@camphorpitch/wire'
 
 /** What placement needs of a member. */
 export interface Candidate {
--- a/packages/proxy/src/membership/state.ts
+++ b/packages/proxy/src/membership/state.ts
@@ -1,7 +1,6 @@
-import type { Vm } from '@camphorpitch/wire'
+import { hashName, type Vm } from '@camphorpitch/wire'
 import type { Member } from './membership-view.ts'
 import type { MembershipMessage } from './messages.ts'
-import { hashName } from './rendezvous-hash.ts'
 
 /** Sends of a new member's own news before it knows how many others there are. */
 const JOIN_SENDS = 10
--- a/packages/proxy/src/membership/sync.ts
+++ b/packages/proxy/src/membership/sync.ts
@@ -1,5 +1,5 @@
+import { hashPair } from '@camphorpitch/wire'
 import { SYNC_CHUNK_SIZE, type MemberUpdate } from './messages.ts'
-import { hashPair } from './rendezvous-hash.ts'
 import { pickRandom, type Contact, type MemberRecord, type MembershipState } from './state.ts'
 import { createUpdate, type Round } from './updates.ts'
 
--- a/packages/proxy/src/retries/run-named-write.ts
+++ b/packages/proxy/src/retries/run-named-write.ts
@@ -1,4 +1,4 @@
-import { parseCommitInfo, type AnswerFrame, type Cell, type LogPosition, type Refusal } from '@camphorpitch/wire'
+import { type AnswerFrame, type Cell, type LogPosition, parseCommitInfo, recordRequest, type Refusal, spendRetry } from '@camphorpitch/wire'
 import type { EndpointConnection } from '../pool/endpoint-connection.ts'
 import type { ResultHeader, ResultPart } from '../pool/part-queue.ts'
 import { confirmCommit, confirmVisible } from '../serving/confirm-position.ts'
@@ -9,7 +9,6 @@
 import { computeTimeLeftMs, writeDecision, type AcceptedRequest, type ServingContext } from '../serving/serving-context.ts'
 import { canCommitImplicitly } from '../transactions/implicit-commit.ts'
 import { isNotRunError } from './classify-failure.ts'
-import { recordRequest, spendRetry } from './retry-budget.ts'
 import { formatRecordCleanup, formatRecordInsert, formatRecordQuery, formatRecordTable, formatRecordUpdate, hashStatement, hashWriteName, isDuplicateName, isMissingTable, parseRecord } from './write-record.ts'
 
 const RETRY_WAIT_MS = 50
--- a/packages/proxy/src/serving/run-read.ts
+++ b/packages/proxy/src/serving/run-read.ts
@@ -1,7 +1,6 @@
-import type { AnswerFrame } from '@camphorpitch/wire'
+import { type AnswerFrame, recordRequest, spendRetry } from '@camphorpitch/wire'
 import type { ReadTarget } from '../routing/select-read-target.ts'
 import { isNotRunError } from '../retries/classify-failure.ts'
-import { recordRequest, spendRetry } from '../retries/retry-budget.ts'
 import { confirmReplica, confirmVisible } from './confirm-position.ts'
 import { findReadTarget } from './find-read-target.ts'
 import { makeRefusal } from './frames.ts'
--- a/packages/proxy/src/serving/run-write.ts
+++ b/packages/proxy/src/serving/run-write.ts
@@ -1,7 +1,6 @@
-import { parseCommitInfo, type AnswerFrame } from '@camphorpitch/wire'
+import { type AnswerFrame, parseCommitInfo, recordRequest, spendRetry } from '@camphorpitch/wire'
 import type { ResultHeader, ResultPart } from '../pool/part-queue.ts'
 import { isNotRunError } from '../retries/classify-failure.ts'
-import { recordRequest, spendRetry } from '../retries/retry-budget.ts'
 import { confirmCommit, confirmVisible } from './confirm-position.ts'
 import { makeRefusal } from './frames.ts'
 import { acquireLease, runOnConnection } from './run-on-connection.ts'
--- a/packages/proxy/src/serving/serving-context.ts
+++ b/packages/proxy/src/serving/serving-context.ts
@@ -1,7 +1,6 @@
-import type { Clock, Database, Logger, StatementRequest } from '@camphorpitch/wire'
+import type { Clock, Database, Logger, RetryBudget, StatementRequest } from '@camphorpitch/wire'
 import type { GroupView } from '../failover/group-view.ts'
 import type { EndpointPools } from '../pool/endpoint-pools.ts'
-import type { RetryBudget } from '../retries/retry-budget.ts'
 import type { BaselineHistory } from '../routing/baseline-history.ts'
 import type { Cancellation } from './cancellation.ts'
 import type { TermBarrier } from './term-barrier.ts'
--- a/packages/proxy/src/transactions/run-transaction.ts
+++ b/packages/proxy/src/transactions/run-transaction.ts
@@ -1,7 +1,6 @@
-import { parseCommitInfo, type AnswerFrame, type Endpoint, type LogPosition } from '@camphorpitch/wire'
+import { type AnswerFrame, type Endpoint, type LogPosition, parseCommitInfo, recordRequest, spendRetry } from '@camphorpitch/wire'
 import type { ResultHeader, ResultPart } from '../pool/part-queue.ts'
 import { isNotRunError } from '../retries/classify-failure.ts'
-import { recordRequest, spendRetry } from '../retries/retry-budget.ts'
 import { confirmCommit, confirmVisible } from '../serving/confirm-position.ts'
 import { makeRefusal } from '../serving/frames.ts'
 import { acquireLease, runCancellable, type ConnectionLease } from '../serving/run-on-connection.ts'
--- a/scripts/check-verbs.js
+++ b/scripts/check-verbs.js
@@ -31,6 +31,6 @@
 }
 
 const verbs = readVerbs()
-const bad = globSync('packages/*/src/**/*.ts', { ignore: '**/*.test.ts' }).sort().flatMap(f => listBadNames(f, verbs))
+const bad = globSync(['packages/*/src/**/*.ts', 'platform/src/**/*.ts'], { ignore: '**/*.test.ts' }).sort().flatMap(f => listBadNames(f, verbs))
 for (const b of bad) console.log(`${b}: begins with no verb of docs/VERBS.md`)
 process.exit(bad.length > 0 ? 1 : 0)
--- a/scripts/test.js
+++ b/scripts/test.js
@@ -13,7 +13,7 @@
 }
 
 function listTestFiles (patterns) {
-  const wanted = patterns.length > 0 ? patterns : ['packages/*/src/**/*.test.ts']
+  const wanted = patterns.length > 0 ? patterns : ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts']
   return globSync(wanted).sort()
 }
 
