Close idle connections sooner where shares are small, pass over lagging replicas, send reports without field names

Cause: 8 VMs kept idle connections of some workspaces to primaries that accept 21 of all, so others were refused (1800 resets); reports made up most of the bytes between regions.

--- a/packages/gateway/src/fleet/fleet-messages.ts
+++ b/packages/gateway/src/fleet/fleet-messages.ts
@@ -10,9 +10,11 @@
 import type { Fleet, FleetOptions, Poll } from './fleet.ts'
 import { applyGroupReport, createGroupReport } from './group-reports.ts'
 import { listPossible, type MemberState } from './members.ts'
-import type { FleetMessage, Report, VmEntry } from './messages.ts'
+import { decodeGroupReport, encodeGroupReport, type FleetMessage, type Report, type VmEntry } from './messages.ts'
 import { RevocationCollector } from './revocations.ts'
 
+/** Polls after a start that tell who asks. */
+const INTRODUCTIONS = 20
 /** Longest wait for writes that run at a primary that is to step down, in milliseconds. */
 const WRITES_WAIT_MS = 500
 
@@ -64,7 +66,7 @@
 
   #createPoll (sequence: number): Poll {
     const { self, configuration, directory } = this.#options
-    return { type: 'poll', sequence, vm: self, configurationVersion: configuration.version, endpointsAsOf: directory.asOf }
+    return { type: 'poll', sequence, vm: sequence <= INTRODUCTIONS ? self : undefined, configurationVersion: configuration.version, endpointsAsOf: directory.asOf }
   }
 
   #createReport (poll: Poll): Report {
@@ -73,7 +75,7 @@
     const report: Report = {
       type: 'report',
       sequence: poll.sequence,
-      groups: groups.list().map(g => createGroupReport(g, nowMs)).filter(g => g !== undefined),
+      groups: groups.list().map(g => createGroupReport(g, nowMs)).filter(g => g !== undefined).map(encodeGroupReport),
       demand: quotas.listDemand(),
       endpointsAsOf: directory.asOf
     }
@@ -84,7 +86,7 @@
   #applyReport (vm: string, report: Report, askedAtMs: number): void {
     const { configuration, groups, quotas } = this.#options
     if (report.configuration !== undefined) configuration.apply(report.configuration, `vm ${vm}`)
-    for (const g of report.groups) {
+    for (const g of report.groups.map(decodeGroupReport)) {
       const group = groups.find(g.service)
       if (group !== undefined) applyGroupReport(group, vm, g, askedAtMs)
     }
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -106,7 +106,7 @@
     }
     const message = parsed.data
     if (message.type === 'poll') {
-      this.#addEntry(message.vm)
+      if (message.vm !== undefined) this.#addEntry(message.vm)
       network.send(from.vm, FLEET_SLICE, createReport(message))
     } else if (message.type === 'report') this.#receiveReport(from.vm, message)
     else handleMessage(from.vm, message)
--- a/packages/gateway/src/fleet/group-reports.ts
+++ b/packages/gateway/src/fleet/group-reports.ts
@@ -2,9 +2,9 @@
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { GroupReport } from './messages.ts'
 
-/** Age of something in whole milliseconds, rounded up; `undefined` for what never was. */
-function measureAge (atMs: number, nowMs: number): number | undefined {
-  return atMs === -Infinity ? undefined : Math.ceil(Math.max(0, nowMs - atMs))
+/** Age of something in whole milliseconds, rounded up; `null` for what never was. */
+function measureAge (atMs: number, nowMs: number): number | null {
+  return atMs === -Infinity ? null : Math.ceil(Math.max(0, nowMs - atMs))
 }
 
 /** Describes what this VM knows of a group; `undefined` while it knows no primary. */
@@ -17,8 +17,8 @@
     primary: primary.endpoint,
     term: primary.term,
     leadershipAgeMs: measureAge(trustEndsMs - LEADER_LEASE_MS, nowMs),
-    sample: newest === undefined ? undefined : { ageMs: Math.ceil(nowMs - newest.atMs), position: newest.position },
-    acknowledged: acknowledged ?? undefined,
+    sample: newest === undefined ? null : { ageMs: Math.ceil(nowMs - newest.atMs), position: newest.position },
+    acknowledged,
     acknowledgedAgeMs: measureAge(acknowledgedAtMs, nowMs),
     heardAgeMs: measureAge(heardAtMs, nowMs),
     pendingWriteMs: group.unansweredWriteSinceMs === null ? 0 : Math.max(0, Math.floor(nowMs - group.unansweredWriteSinceMs))
@@ -36,9 +36,9 @@
   const isNewer = state.primary === null ? report.term > 0 : report.term > state.primary.term
   if (isNewer) group.adoptPrimary(report.primary, report.term, `vm ${vm}`)
   if (state.primary?.endpoint !== report.primary) return
-  if (report.leadershipAgeMs !== undefined) recordLeadership(state, report.primary, askedAtMs - report.leadershipAgeMs)
-  if (report.sample !== undefined) addSample(state, { atMs: askedAtMs - report.sample.ageMs, position: report.sample.position })
-  if (report.acknowledged !== undefined) recordAcknowledged(state, report.acknowledged)
+  if (report.leadershipAgeMs !== null) recordLeadership(state, report.primary, askedAtMs - report.leadershipAgeMs)
+  if (report.sample !== null) addSample(state, { atMs: askedAtMs - report.sample.ageMs, position: report.sample.position })
+  if (report.acknowledged !== null) recordAcknowledged(state, report.acknowledged)
   group.peers.set(vm, {
     heardAtMs: askedAtMs - (report.heardAgeMs ?? Infinity),
     acknowledgedAtMs: askedAtMs - (report.acknowledgedAgeMs ?? Infinity),
--- a/packages/gateway/src/fleet/messages.ts
+++ b/packages/gateway/src/fleet/messages.ts
@@ -1,4 +1,4 @@
-import { logPositionSchema } from '@camphorpitch/wire'
+import { logPositionSchema, type LogPosition } from '@camphorpitch/wire'
 import { z } from 'zod'
 import { configurationSchema } from '../configuration/configuration.ts'
 import { endpointEntrySchema } from '../directory/endpoint-entry.ts'
@@ -15,28 +15,53 @@
 export type VmEntry = z.infer<typeof vmEntrySchema>
 
 /** What a VM knows of a service's group. Ages are in milliseconds when the report is sent. */
-export const groupReportSchema = z.object({
-  service: z.string(),
-  primary: z.string(),
-  term: z.number().int(),
-  /** Age of the last proof that the primary leads; absent without one. */
-  leadershipAgeMs: z.number().optional(),
-  sample: z.object({ ageMs: z.number(), position: logPositionSchema }).optional(),
-  acknowledged: logPositionSchema.optional(),
-  acknowledgedAgeMs: z.number().optional(),
+export interface GroupReport {
+  service: string
+  primary: string
+  term: number
+  /** Age of the last proof that the primary leads; `null` without one. */
+  leadershipAgeMs: number | null
+  sample: { ageMs: number, position: LogPosition } | null
+  acknowledged: LogPosition | null
+  acknowledgedAgeMs: number | null
   /** Age of the primary's last answer to the VM. */
-  heardAgeMs: z.number().optional(),
+  heardAgeMs: number | null
   /** For how long the VM's oldest write at the primary has gone without an answer; 0 for none. */
-  pendingWriteMs: z.number()
-})
-export type GroupReport = z.infer<typeof groupReportSchema>
+  pendingWriteMs: number
+}
+
+const age = z.number().nullable()
+const position = z.tuple([z.number().int(), z.number().int()]).nullable()
+
+/** A group's report on the wire: fields without names, as reports make up most of the traffic between VMs. */
+export const groupReportSchema = z.tuple([z.string(), z.string(), z.number().int(), age, age, position, position, age, age, z.number()])
+export type EncodedGroupReport = z.infer<typeof groupReportSchema>
+
+function encodePosition (p: LogPosition | null | undefined): [number, number] | null {
+  return p === null || p === undefined ? null : [p.term, p.index]
+}
+
+function decodePosition (p: [number, number] | null): LogPosition | null {
+  return p === null ? null : { term: p[0], index: p[1] }
+}
+
+export function encodeGroupReport (r: GroupReport): EncodedGroupReport {
+  return [r.service, r.primary, r.term, r.leadershipAgeMs, r.sample?.ageMs ?? null, encodePosition(r.sample?.position), encodePosition(r.acknowledged), r.acknowledgedAgeMs, r.heardAgeMs, r.pendingWriteMs]
+}
+
+export function decodeGroupReport (encoded: EncodedGroupReport): GroupReport {
+  const [service, primary, term, leadershipAgeMs, sampleAgeMs, samplePosition, acknowledged, acknowledgedAgeMs, heardAgeMs, pendingWriteMs] = encoded
+  const sampled = decodePosition(samplePosition)
+  const sample = sampleAgeMs === null || sampled === null ? null : { ageMs: sampleAgeMs, position: sampled }
+  return { service, primary, term, leadershipAgeMs, sample, acknowledged: decodePosition(acknowledged), acknowledgedAgeMs, heardAgeMs, pendingWriteMs }
+}
 
 /** Asks a VM for its report. */
 export const pollSchema = z.object({
   type: z.literal('poll'),
   sequence: z.number().int(),
-  /** The sender, for a VM that does not know it yet. */
-  vm: vmEntrySchema,
+  /** The sender, for a VM that may not know it yet. */
+  vm: vmEntrySchema.optional(),
   configurationVersion: z.number().int(),
   /** Revision up to which the sender knows the endpoints. */
   endpointsAsOf: z.number()
--- a/packages/gateway/src/pool/connection-plan.ts
+++ b/packages/gateway/src/pool/connection-plan.ts
@@ -34,7 +34,7 @@
   | { type: 'close', slot: ConnectionSlot }
 
 /** An idle connection above the kept ones is closed after this long, in milliseconds. */
-export const IDLE_EXCESS_MS = 1_000
+export const IDLE_EXCESS_MS = 250
 
 /**
  * Plans which waiting requests get which connections, and which connections to open or close for them.
--- a/packages/gateway/src/pool/connection-share.ts
+++ b/packages/gateway/src/pool/connection-share.ts
@@ -4,6 +4,8 @@
 const RESERVED_CONNECTIONS = 2
 /** Part of a replica's connections that is for the VMs of its failure domain, which read there. */
 const LOCAL_PART = 0.7
+/** A share smaller than this is too small to hold connections of several workspaces open while idle. */
+const SMALLEST_KEPT = 4
 /** How far above its share a VM may go while others do not use theirs. */
 const MOST_OVER_KEPT = 2.5
 
@@ -28,8 +30,9 @@
 export function computeConnectionShare (options: ConnectionShareOptions): ConnectionLimits {
   const { maxConnections, vms, localVms, isLocal, isPrimary } = options
   const shared = Math.max(1, maxConnections - RESERVED_CONNECTIONS)
-  const kept = Math.max(1, Math.floor(computeShare(shared, { vms, localVms, isLocal, isPrimary })))
-  return { kept, most: Math.min(shared, Math.max(kept + 2, Math.floor(kept * MOST_OVER_KEPT))) }
+  const share = Math.max(1, Math.floor(computeShare(shared, { vms, localVms, isLocal, isPrimary })))
+  const kept = share < SMALLEST_KEPT ? 0 : share
+  return { kept, most: Math.min(shared, Math.max(share + 2, Math.floor(share * MOST_OVER_KEPT))) }
 }
 
 function computeShare (shared: number, { vms, localVms, isLocal, isPrimary }: Omit<ConnectionShareOptions, 'maxConnections'>): number {
--- a/packages/gateway/src/pool/endpoint-pool.ts
+++ b/packages/gateway/src/pool/endpoint-pool.ts
@@ -2,7 +2,7 @@
 import type { EndpointConnector } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError, EndpointRefusedError } from '../backend/errors.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { planConnections, type ConnectionLimits, type ConnectionSlot, type PlannedStep, type Waiter } from './connection-plan.ts'
+import { IDLE_EXCESS_MS, planConnections, type ConnectionLimits, type ConnectionSlot, type PlannedStep, type Waiter } from './connection-plan.ts'
 import { createHealth, recordConnected, recordRefused, recordSent, recordUnanswered, type EndpointHealth } from './endpoint-health.ts'
 import { PoolError, type PoolRefusal } from './errors.ts'
 import { PooledConnection } from './pooled-connection.ts'
@@ -10,7 +10,7 @@
 /** Time for a connection attempt, in milliseconds; a new connection takes some tens of them across regions. */
 const CONNECT_TIMEOUT_MS = 900
 /** After an endpoint refused a connection as one too many, in milliseconds. */
-const TOO_MANY_PAUSE_MS = 150
+const TOO_MANY_PAUSE_MS = 30
 /** After a connection attempt that failed, in milliseconds. */
 const FAILED_PAUSE_MS = 200
 
@@ -20,10 +20,13 @@
   priority: number
   /** Longest wait, in milliseconds. */
   waitMs: number
+  /** Whether another endpoint may run it, so that it need not wait for one that has no connection left. */
+  canGoElsewhere?: boolean
 }
 
 interface PendingAcquire {
   waiter: Waiter
+  canGoElsewhere: boolean
   timer: NodeJS.Timeout
   resolve: (connection: PooledConnection) => void
   reject: (error: Error) => void
@@ -44,6 +47,8 @@
 export class EndpointPool {
   entry: EndpointEntry
   readonly health: EndpointHealth = createHealth()
+  /** Until then its log is likely to lack positions that reads ask for. */
+  laggingUntilMs = -Infinity
   readonly #options: EndpointPoolOptions
   readonly #slots = new Map<number, HeldSlot>()
   readonly #waiting = new Map<number, PendingAcquire>()
@@ -77,13 +82,13 @@
   }
 
   /** @throws PoolError when no connection is to be had in time */
-  async acquire ({ workspace, session, priority, waitMs }: AcquireOptions): Promise<PooledConnection> {
+  async acquire ({ workspace, session, priority, waitMs, canGoElsewhere = false }: AcquireOptions): Promise<PooledConnection> {
     if (this.#isStopped) throw new PoolError('endpoint is gone', { props: { refusal: 'gone' } })
     const nowMs = this.#options.clock.readNow()
     return await new Promise((resolve, reject) => {
       const id = ++this.#lastId
       const timer = setTimeout(() => this.#refuse(id, 'busy', 'no connection became free in time'), waitMs)
-      this.#waiting.set(id, { waiter: { id, workspace, session, priority, sinceMs: nowMs, deadlineMs: nowMs + waitMs }, timer, resolve, reject })
+      this.#waiting.set(id, { waiter: { id, workspace, session, priority, sinceMs: nowMs, deadlineMs: nowMs + waitMs }, canGoElsewhere, timer, resolve, reject })
       this.runPlan()
     })
   }
@@ -97,6 +102,7 @@
     slot.session = connection.session
     slot.usedAtMs = this.#options.clock.readNow()
     this.runPlan()
+    this.#schedulePlan(IDLE_EXCESS_MS)
   }
 
   /** Grants, opens and closes what the plan says; called on every change and from time to time. */
@@ -168,6 +174,7 @@
       this.#mayOpenAtMs = nowMs + CONNECT_TIMEOUT_MS
       return this.#refuseAll('unreachable', 'another service answers at the address')
     }
+    for (const [id, { canGoElsewhere }] of [...this.#waiting]) if (canGoElsewhere) this.#refuse(id, 'busy', 'the endpoint accepts no more connections')
     this.#mayOpenAtMs = nowMs + TOO_MANY_PAUSE_MS
     this.#schedulePlan(TOO_MANY_PAUSE_MS)
   }
--- a/packages/gateway/src/routing/select-endpoint.ts
+++ b/packages/gateway/src/routing/select-endpoint.ts
@@ -14,6 +14,8 @@
   hasIdle: boolean
   isAvoided: boolean
   isWarmingUp: boolean
+  /** Whether its log lacked a position a moment ago. */
+  isLagging: boolean
 }
 
 /** Time to an answer from an endpoint not yet used, in milliseconds, by distance. */
@@ -23,6 +25,8 @@
 /** The primary's slots are kept for writes unless replicas are this much slower, in milliseconds. */
 const PRIMARY_PENALTY_MS = 30
 const WARM_UP_FACTOR = 1.6
+/** A replica that lags is likely to answer only that it does. */
+const LAGGING_PENALTY_MS = 1_000
 /** Above any sum of the times: such endpoints are a last resort. */
 const AVOIDED_PENALTY_MS = 10_000
 const DRAINING_PENALTY_MS = 100_000
@@ -32,7 +36,7 @@
   const answerMs = (c.answerMs ?? UNKNOWN_ANSWER_MS[c.distance]) * (c.isWarmingUp ? WARM_UP_FACTOR : 1)
   const queueMs = answerMs * c.load / c.slots
   const connectMs = c.hasIdle ? 0 : CONNECT_MS[c.distance]
-  const penaltyMs = (c.isPrimary ? PRIMARY_PENALTY_MS : 0) + (c.isAvoided ? AVOIDED_PENALTY_MS : 0) + (c.isDraining ? DRAINING_PENALTY_MS : 0)
+  const penaltyMs = (c.isPrimary ? PRIMARY_PENALTY_MS : 0) + (c.isLagging ? LAGGING_PENALTY_MS : 0) + (c.isAvoided ? AVOIDED_PENALTY_MS : 0) + (c.isDraining ? DRAINING_PENALTY_MS : 0)
   return answerMs + queueMs + connectMs + penaltyMs
 }
 
--- a/packages/gateway/src/statements/pinned-transaction.ts
+++ b/packages/gateway/src/statements/pinned-transaction.ts
@@ -6,6 +6,7 @@
 import type { PooledConnection } from '../pool/pooled-connection.ts'
 import { computeTimeLeftMs, computeWaitMs, createRetryRefusal, readMaxStalenessMs, type Operation, type Outcome } from './operation.ts'
 import { findReadTarget, type ReadTarget } from './read-targets.ts'
+import { LAGGING_AVOID_MS } from './run-read.ts'
 import { acquirePrimary } from './run-write.ts'
 import type { StatementContext } from './statement-context.ts'
 
@@ -177,6 +178,7 @@
     if (answer.error === null && answer.state === 'open') return { transaction: new PinnedTransaction({ context, group, pool, connection }) }
     pool.release(connection, answer.state === 'idle')
     context.logAttempt(operation, pool, atLeast, answer)
+    if (answer.error?.code === 'lagging') pool.laggingUntilMs = context.clock.readNow() + LAGGING_AVOID_MS
     if (answer.error?.code === 'readOnly') context.findPrimaryAgain(group)
     const code = answer.error?.code === 'lagging' || answer.error?.code === 'readOnly' ? answer.error.code : 'busy'
     return createRetryRefusal(code, answer.error?.text ?? 'the transaction could not be opened', RETRY_AFTER_MS) as OpenedTransaction
--- a/packages/gateway/src/statements/read-targets.ts
+++ b/packages/gateway/src/statements/read-targets.ts
@@ -54,7 +54,8 @@
     answerMs: health.answerMs,
     hasIdle: pool.hasIdle(workspace),
     isAvoided: isAvoided(health, nowMs),
-    isWarmingUp: entry.warmupLeftMs > 0
+    isWarmingUp: entry.warmupLeftMs > 0,
+    isLagging: nowMs < pool.laggingUntilMs
   }
 }
 
--- a/packages/gateway/src/statements/run-read.ts
+++ b/packages/gateway/src/statements/run-read.ts
@@ -19,6 +19,8 @@
 const MOST_ATTEMPTS = 3
 /** An endpoint that was too busy for a read is passed over for this long, in milliseconds. */
 const BUSY_AVOID_MS = 100
+/** A replica whose log lacked a position is passed over for this long, in milliseconds. */
+export const LAGGING_AVOID_MS = 250
 /** When a read that no endpoint can run now is worth repeating, in milliseconds. */
 const RETRY_AFTER_MS = 200
 
@@ -60,6 +62,12 @@
 
 function selectNext (context: StatementContext, group: ServiceGroup, operation: Operation, tried: ReadonlySet<string>, attempts: number): ReadTarget | string {
   if (attempts >= MOST_ATTEMPTS) return 'none'
+  const hasLagged = [...tried].some(e => context.clock.readNow() < (group.pools.get(e)?.laggingUntilMs ?? -Infinity))
+  const { primaryPool } = group
+  if (hasLagged && primaryPool !== undefined && !tried.has(primaryPool.entry.endpoint)) {
+    const required = findReadTarget(group, operation, new Set([...group.pools.keys()].filter(e => e !== primaryPool.entry.endpoint)), context.location, context.clock)
+    if (typeof required !== 'string') return required
+  }
   const target = findReadTarget(group, operation, tried, context.location, context.clock)
   if (target !== 'none') return target
   const pool = group.primaryPool
@@ -103,7 +111,7 @@
   const { workspace, contents, route, statement, preparedName } = operation
   let connection: PooledConnection
   try {
-    connection = await pool.acquire({ workspace, session: contents.session, priority: route.priority, waitMs: computeWaitMs(operation, clock.readNow()) })
+    connection = await pool.acquire({ workspace, session: contents.session, priority: route.priority, waitMs: computeWaitMs(operation, clock.readNow()), canGoElsewhere: pool !== group.primaryPool })
   } catch (error) {
     if (!(error instanceof PoolError)) throw error
     return { kind: 'notRun', reason: error.message, code: 'busy' }
@@ -113,6 +121,7 @@
     const answer = await group.runStatement(pool, false, computeTimeLeftMs(operation, clock.readNow()), async () => await connection.run(statement.id, statement.text, atLeast))
     await Promise.all(restored)
     pool.release(connection, answer.state === 'idle')
+    if (answer.error?.code === 'lagging') pool.laggingUntilMs = clock.readNow() + LAGGING_AVOID_MS
     if (answer.error?.code === 'busy') avoidEndpoint(pool.health, BUSY_AVOID_MS, clock.readNow())
     context.logAttempt(operation, pool, atLeast, answer)
     return { kind: 'answered', answer, endpoint: pool.entry.endpoint }
