--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -9,7 +9,7 @@
 import { ControlConnections } from './failover/control-connections.ts'
 import { DutyClaims } from './failover/duty-claim.ts'
 import { FailoverWatch } from './failover/failover-watch.ts'
-import { LeadershipQuestions } from './failover/prove-leadership.ts'
+import { LeadershipQuestions } from './failover/verify-leadership.ts'
 import { Fleet } from './fleet/fleet.ts'
 import { FleetMessages } from './fleet/fleet-messages.ts'
 import { createMemberState, type MemberState } from './fleet/members.ts'
@@ -17,7 +17,7 @@
 import { GroupTable, type GroupTableOptions } from './groups/group-table.ts'
 import { QuotaKeeper } from './limits/quota-keeper.ts'
 import type { MetadataStore } from './metadata/metadata-store.ts'
-import { watchKind, type KindWatch } from './metadata/watch-kind.ts'
+import { watchKind } from './metadata/watch-kind.ts'
 import { ClientSession } from './sessions/client-session.ts'
 import { GatewaySessionHost } from './sessions/gateway-session-host.ts'
 import type { GatewaySettings } from './settings.ts'
@@ -131,7 +131,7 @@
   return new WsPeerNetwork({ self: hello, clock: new MonotonicClock(), logger, findAddress })
 }
 
-function startWatches ({ outside: { store }, logger, clock, configuration, directory, groups }: Parts): KindWatch[] {
+function startWatches ({ outside: { store }, logger, clock, configuration, directory, groups }: Parts): Array<{ stop: () => void }> {
   const handleRegained = (): void => recordStoreReturn(directory, clock.readNow())
   const endpoints = watchKind({
     store,
--- a/packages/gateway/src/backend/endpoint-connector.ts
+++ b/packages/gateway/src/backend/endpoint-connector.ts
@@ -58,7 +58,7 @@
   abstract pause (term: number): Promise<EndpointStatus | null>
   abstract resume (): Promise<EndpointStatus | null>
   /** Makes a primary of a lower term a replica. */
-  abstract stepDown (term: number): Promise<EndpointStatus | null>
+  abstract demote (term: number): Promise<EndpointStatus | null>
   /** Calls the listener once, when the connection has ended. */
   abstract subscribeClose (listener: () => void): void
   abstract close (): void
--- a/packages/gateway/src/directory/directory.ts
+++ b/packages/gateway/src/directory/directory.ts
@@ -34,14 +34,14 @@
   const changes = listing.items.flatMap(o => applyObject(state, o))
   const listed = new Set(listing.items.filter(o => o.value !== null).map(o => o.name))
   for (const name of [...state.entries.keys()]) {
-    if (!listed.has(name)) changes.push(...lapseEntry(state, name, nowMs))
+    if (!listed.has(name)) changes.push(...recordLapse(state, name, nowMs))
   }
   return changes
 }
 
 /** Takes in changes that a watch has shown. */
 export function applyChanges (state: DirectoryState, listed: ReadonlyArray<Change<EndpointEntry>>, asOf: number, nowMs: number): DirectoryChange[] {
-  const changes = listed.flatMap(({ object, isRemoved }) => isRemoved ? lapseEntry(state, object.name, nowMs) : applyObject(state, object))
+  const changes = listed.flatMap(({ object, isRemoved }) => isRemoved ? recordLapse(state, object.name, nowMs) : applyObject(state, object))
   state.asOf = Math.max(state.asOf, asOf)
   return changes
 }
@@ -67,7 +67,7 @@
   return [{ event: before === undefined ? 'added' : 'changed', entry: value }]
 }
 
-function lapseEntry (state: DirectoryState, name: string, nowMs: number): DirectoryChange[] {
+function recordLapse (state: DirectoryState, name: string, nowMs: number): DirectoryChange[] {
   const entry = state.entries.get(name)
   if (entry === undefined || state.lapsed.has(name)) return []
   const dropAtMs = state.storeReturnedAtMs + ENTRY_RETURN_MS
--- a/packages/gateway/src/drain/drain.ts
+++ b/packages/gateway/src/drain/drain.ts
@@ -1,6 +1,6 @@
 import type { Clock, Logger } from '@camphorpitch/wire'
 import type { ClientSession } from '../sessions/client-session.ts'
-import { sleep } from '../runtime/wait-at-most.ts'
+import { waitFor } from '../runtime/wait-at-most.ts'
 
 /** Time in which the balancer takes an unready VM out, in milliseconds: two questions, a second apart, and their way. */
 const OUT_OF_ROTATION_MS = 2_500
@@ -27,7 +27,7 @@
  * Ends all sessions without cutting a statement: idle ones once no new ones come, others when what they run ends,
  * transactions after their part of the grace period.
  */
-export async function drainSessions ({ clock, logger, graceMs, listSessions, pause = sleep }: DrainOptions): Promise<void> {
+export async function drainSessions ({ clock, logger, graceMs, listSessions, pause = waitFor }: DrainOptions): Promise<void> {
   const startMs = clock.readNow()
   const isPast = (afterMs: number): boolean => clock.readNow() - startMs >= afterMs
   logger.info('draining', { sessions: listSessions().length, graceMs })
--- a/packages/gateway/src/failover/control-connections.ts
+++ b/packages/gateway/src/failover/control-connections.ts
@@ -28,7 +28,7 @@
    * @throws ConnectionLostError when it did not answer
    */
   async run (entry: EndpointEntry, command: ControlCommand): Promise<EndpointStatus | null> {
-    const held = this.#hold(entry)
+    const held = this.#acquire(entry)
     clearTimeout(held.timer)
     try {
       return await waitAtMost(command(await held.connection), ANSWER_TIMEOUT_MS, () => new ConnectionLostError('no answer to a control command'))
@@ -41,18 +41,18 @@
     }
   }
 
-  #hold (entry: EndpointEntry): HeldConnection {
+  #acquire (entry: EndpointEntry): HeldConnection {
     const existing = this.#held.get(entry.endpoint)
     if (existing !== undefined) return existing
     const { endpoint, service, address } = entry
     const connection = this.#connector.connect({ endpoint, service, address, workspace: CONTROL_WORKSPACE }, CONNECT_TIMEOUT_MS)
     const held: HeldConnection = { connection, timer: undefined }
     this.#held.set(endpoint, held)
-    connection.then(c => c.subscribeClose(() => this.#forget(endpoint, held)), () => this.#forget(endpoint, held))
+    connection.then(c => c.subscribeClose(() => this.#remove(endpoint, held)), () => this.#remove(endpoint, held))
     return held
   }
 
-  #forget (endpoint: string, held: HeldConnection): void {
+  #remove (endpoint: string, held: HeldConnection): void {
     if (this.#held.get(endpoint) === held) this.#held.delete(endpoint)
   }
 
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -4,7 +4,7 @@
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import { LEADER_LEASE_MS } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
-import { sleep } from '../runtime/wait-at-most.ts'
+import { waitFor } from '../runtime/wait-at-most.ts'
 import type { ControlCommand, ControlConnections } from './control-connections.ts'
 import { pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
 import type { Claim, DutyClaims } from './duty-claim.ts'
@@ -86,7 +86,7 @@
 async function promoteCandidate (attempt: Attempt): Promise<string | null> {
   const { host, group, reason } = attempt
   const isPlanned = reason === 'primary draining'
-  await raiseTerm(attempt)
+  await updateTerm(attempt)
   const revoking = host.revoke(group, attempt.term, isPlanned, isPlanned ? PLANNED_REVOKE_WAIT_MS : REVOKE_WAIT_MS)
   if (isPlanned) await revoking
   const fenced = isPlanned ? await fencePlanned(attempt) : await fenceReplicas(attempt)
@@ -97,11 +97,11 @@
   const candidate = pickCandidate({ fenced, missing, ...revocation })
   host.logger.info('promotion candidate', { service: group.service, candidate: candidate?.endpoint, fenced, missing, ...revocation })
   if (candidate === undefined) return null
-  return await orderPromotion(attempt, candidate.endpoint)
+  return await requestPromotion(attempt, candidate.endpoint)
 }
 
 /** A term that none of the group has seen; the primary's is not known before it has been asked. */
-async function raiseTerm (attempt: Attempt): Promise<void> {
+async function updateTerm (attempt: Attempt): Promise<void> {
   if (attempt.term > 1) return
   const known = await runOnAll(attempt, attempt.replicas, async c => await c.readStatus())
   attempt.term = Math.max(1, ...known.map(({ status }) => Math.max(status.term, status.pausedForTerm) + 1))
@@ -109,7 +109,7 @@
 
 async function fenceReplicas (attempt: Attempt): Promise<FencedEndpoint[]> {
   const { host, old, replicas, term } = attempt
-  const steppingDown = old === undefined ? Promise.resolve([]) : runOnAll(attempt, [old], async c => await c.stepDown(term))
+  const steppingDown = old === undefined ? Promise.resolve([]) : runOnAll(attempt, [old], async c => await c.demote(term))
   const paused = await runOnAll(attempt, replicas, async c => await c.pause(term))
   const isHeld = (s: EndpointStatus): boolean => s.role === 'replica' && s.pausedForTerm >= term
   const fenced = paused.filter(({ status }) => isHeld(status)).map(({ entry, status }) => describeFenced(entry, status, false))
@@ -123,7 +123,7 @@
 async function fencePlanned (attempt: Attempt): Promise<FencedEndpoint[]> {
   const { host, old, replicas, term } = attempt
   if (old === undefined) return []
-  const [steppedDown] = await runOnAll(attempt, [old], async c => await c.stepDown(term))
+  const [steppedDown] = await runOnAll(attempt, [old], async c => await c.demote(term))
   if (steppedDown === undefined || steppedDown.status.role !== 'replica') return []
   const { received } = steppedDown.status
   const untilMs = host.clock.readNow() + CATCH_UP_WAIT_MS
@@ -132,7 +132,7 @@
     const complete = known.filter(({ status }) => comparePositions(status.received, received) >= 0).map(({ entry, status }) => describeFenced(entry, status, false))
     if (complete.length > 0) return [...complete, describeFenced(old, steppedDown.status, true)]
     if (host.clock.readNow() >= untilMs) return [describeFenced(old, steppedDown.status, true)]
-    await sleep(BUSY_PAUSE_MS)
+    await waitFor(BUSY_PAUSE_MS)
   }
 }
 
@@ -145,13 +145,13 @@
   const { host, group, term } = attempt
   const waitMs = fencedAtMs + LEADER_LEASE_MS - host.clock.readNow()
   host.logger.info('waiting for leases to end', { service: group.service, waitMs: Math.round(waitMs) })
-  if (waitMs > 0) await sleep(waitMs)
+  if (waitMs > 0) await waitFor(waitMs)
   if (attempt.reason === 'primary draining') return
   const held = await runOnAll(attempt, attempt.replicas, async c => await c.pause(term))
   if (held.some(({ status }) => status.role === 'primary')) throw new Error('another endpoint leads already')
 }
 
-async function orderPromotion (attempt: Attempt, endpoint: string): Promise<string | null> {
+async function requestPromotion (attempt: Attempt, endpoint: string): Promise<string | null> {
   const { host, group, claim } = attempt
   if (!host.claims.isUsable(claim)) {
     host.logger.warn('claim ran out before the promotion', { service: group.service })
@@ -168,8 +168,9 @@
   const { host, group, replicas, old } = attempt
   const entry = [...replicas, ...old === undefined ? [] : [old]].find(e => e.endpoint === endpoint)
   const untilMs = host.clock.readNow() + EFFECT_WAIT_MS
-  while (entry !== undefined && host.clock.readNow() < untilMs) {
-    await sleep(STATUS_INTERVAL_MS)
+  if (entry === undefined) return null
+  while (host.clock.readNow() < untilMs) {
+    await waitFor(STATUS_INTERVAL_MS)
     const [known] = await runOnAll(attempt, [entry], async c => await c.readStatus())
     if (known?.status.role !== 'primary') continue
     host.logger.warn('promotion took effect', { service: group.service, endpoint, term: known.status.term })
@@ -184,7 +185,7 @@
   host.publishOutcome(group, promoted, term)
   const others = replicas.filter(e => e.endpoint !== promoted)
   await runOnAll(attempt, others, async c => await c.resume())
-  if (old !== undefined && promoted !== null && promoted !== old.endpoint) await runOnAll(attempt, [old], async c => await c.stepDown(term))
+  if (old !== undefined && promoted !== null && promoted !== old.endpoint) await runOnAll(attempt, [old], async c => await c.demote(term))
   await host.claims.release(claim)
 }
 
@@ -203,7 +204,7 @@
       host.logger.info('control command not answered', { endpoint: entry.endpoint, reason: error instanceof Error ? error.message : String(error) })
       return null
     }
-    await sleep(BUSY_PAUSE_MS)
+    await waitFor(BUSY_PAUSE_MS)
   }
   return null
 }
--- a/packages/gateway/src/failover/prove-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -2,7 +2,7 @@
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import { recordLeadership } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
-import { sleep } from '../runtime/wait-at-most.ts'
+import { waitFor } from '../runtime/wait-at-most.ts'
 import type { ControlConnections } from './control-connections.ts'
 
 /** A replica that started less than this ago may have forgotten that it was paused, in milliseconds. */
@@ -32,8 +32,8 @@
   }
 
   /** Returns once the group has been asked, or after `waitMs`. */
-  async prove (group: ServiceGroup, waitMs: number): Promise<void> {
-    await Promise.race([this.#runOnce(`prove ${group.service}`, async () => await this.#askReplicas(group)), sleep(waitMs)])
+  async verifyLeadership (group: ServiceGroup, waitMs: number): Promise<void> {
+    await Promise.race([this.#runOnce(`prove ${group.service}`, async () => await this.#probeReplicas(group)), waitFor(waitMs)])
   }
 
   /** Asks all endpoints for their role and takes in who leads. */
@@ -42,18 +42,18 @@
       const roles = await Promise.all([...group.pools.values()].map(async p => await this.checkRole(group, p.entry)))
       const isLeader = roles.includes('primary')
       const believed = [...group.pools.keys()].indexOf(group.state.primary?.endpoint ?? '')
-      if (!isLeader && roles[believed] === 'replica') group.losePrimary()
+      if (!isLeader && roles[believed] === 'replica') group.resetPrimary()
     })
   }
 
   /** Asks one endpoint for its role. */
   async checkRole (group: ServiceGroup, entry: EndpointEntry): Promise<'primary' | 'replica' | null> {
-    const status = await this.#ask(entry)
+    const status = await this.#probe(entry)
     if (status?.role === 'primary') group.adoptPrimary(entry.endpoint, status.term, 'asked')
     return status?.role ?? null
   }
 
-  async #askReplicas (group: ServiceGroup): Promise<void> {
+  async #probeReplicas (group: ServiceGroup): Promise<void> {
     const primary = group.state.primary
     const sentAtMs = this.#options.clock.readNow()
     const pools = [...group.pools.values()]
@@ -62,7 +62,7 @@
     if (primary.term === 0 && primaryEntry !== undefined) await this.checkRole(group, primaryEntry)
     const replicas = pools.filter(p => p.entry.endpoint !== primary.endpoint && Date.now() - p.entry.startedAtMs >= YOUNG_AFTER_MS)
     const isProof = async (entry: EndpointEntry): Promise<void> => {
-      const status = await this.#ask(entry)
+      const status = await this.#probe(entry)
       const { primary: current } = group.state
       const isFollowing = status?.role === 'replica' && status.pausedForTerm === 0 && status.term === current?.term
       if (current === null || !isFollowing) throw new Error(`${entry.endpoint} does not prove it`)
@@ -76,7 +76,7 @@
     }
   }
 
-  async #ask (entry: EndpointEntry): ReturnType<ControlConnections['run']> {
+  async #probe (entry: EndpointEntry): ReturnType<ControlConnections['run']> {
     try {
       return await this.#options.control.run(entry, async c => await c.readStatus())
     } catch (error) {
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -38,7 +38,7 @@
   #sequence = 0
   #round = 0
   #timer: NodeJS.Timeout | undefined
-  #watch: KindWatch | undefined
+  #watch: KindWatch<'vms'> | undefined
   #ownRevision: number | null = null
   #isStopped = false
 
--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -54,17 +54,17 @@
   if (primary !== null && term < primary.term) return false
   if (primary?.endpoint === endpoint) {
     const isNewer = term > primary.term
-    if (isNewer && primary.term > 0) forgetLeadership(state)
+    if (isNewer && primary.term > 0) resetLeadership(state)
     primary.term = term
     return isNewer
   }
   if (primary !== null && term === primary.term && term > 0) return false
   state.primary = { endpoint, term }
-  forgetLeadership(state)
+  resetLeadership(state)
   return true
 }
 
-function forgetLeadership (state: GroupState): void {
+function resetLeadership (state: GroupState): void {
   state.samples = []
   state.trustEndsMs = -Infinity
   state.heardAtMs = -Infinity
--- a/packages/gateway/src/groups/group-table.ts
+++ b/packages/gateway/src/groups/group-table.ts
@@ -44,7 +44,7 @@
     for (const { event, entry } of changes) {
       if (event === 'lapsed') continue
       this.#options.logger.info(`endpoint ${event}`, { ...entry })
-      const group = this.#ensureGroup(entry.service)
+      const group = this.#createMissingGroup(entry.service)
       if (event === 'removed') group.removeEntry(entry.endpoint)
       else this.#updateEntry(group, entry)
     }
@@ -58,7 +58,7 @@
     else if (entry.role === 'primary') this.#options.checkRole(group, entry)
   }
 
-  #ensureGroup (service: string): ServiceGroup {
+  #createMissingGroup (service: string): ServiceGroup {
     const known = this.#groups.get(service)
     if (known !== undefined) return known
     const { connector, clock, logger, recordOpened } = this.#options
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -93,7 +93,7 @@
   }
 
   /** Takes in that the endpoint taken for the primary does not lead, and that none is known to. */
-  losePrimary (): void {
+  resetPrimary (): void {
     this.#options.logger.warn('primary unknown', { service: this.service, before: this.state.primary })
     this.state.primary = null
     this.leaderlessSinceMs = this.#options.clock.readNow()
@@ -154,12 +154,12 @@
     return await new Promise(resolve => {
       const end = (result: boolean): void => {
         clearTimeout(timer)
-        this.#changeListeners.delete(listener)
+        this.#changeListeners.delete(handleChange)
         resolve(result)
       }
-      const listener = (): void => { if (isDone()) end(true) }
+      const handleChange = (): void => { if (isDone()) end(true) }
       const timer = setTimeout(() => end(isDone()), waitMs)
-      this.#changeListeners.add(listener)
+      this.#changeListeners.add(handleChange)
     })
   }
 
--- a/packages/gateway/src/metadata/watch-kind.ts
+++ b/packages/gateway/src/metadata/watch-kind.ts
@@ -1,10 +1,13 @@
 import type { Logger } from '@camphorpitch/wire'
-import { HistoryGoneError, type Change, type Listing, type MetadataStore, type ObjectKind, type ObjectKinds } from './metadata-store.ts'
+import { waitFor } from '../runtime/wait-at-most.ts'
+import { HistoryGoneError, type Change, type Changes, type Listing, type MetadataStore, type ObjectKind, type ObjectKinds } from './metadata-store.ts'
 
 /** How long one watch waits, in milliseconds: a connection that has gone silent is noticed after it. */
 const WATCH_WAIT_MS = 5_000
 const FIRST_PAUSE_MS = 150
 const LONGEST_PAUSE_MS = 1_000
+/** Doublings of the pause. */
+const MOST_DOUBLINGS = 4
 
 export interface WatchKindOptions<K extends ObjectKind> {
   store: MetadataStore
@@ -13,89 +16,101 @@
   waitMs?: number
   applyListing: (listing: Listing<ObjectKinds[K]>) => void
   applyChanges: (changes: Array<Change<ObjectKinds[K]>>, asOf: number) => void
-  /** The store does not answer. */
-  handleLost?: () => void
   /** The store answers again; called before what it answered is applied. */
   handleRegained?: () => void
 }
 
-export interface KindWatch {
-  /** Lists again now, as somebody has seen a later revision. */
-  refresh: () => void
-  stop: () => void
-}
-
 /** Keeps up with all objects of a kind: lists them, then watches what changes. */
-export function watchKind<K extends ObjectKind> (options: WatchKindOptions<K>): KindWatch {
-  const { store, logger, kind, waitMs = WATCH_WAIT_MS, applyListing, applyChanges, handleLost, handleRegained } = options
-  let isStopped = false
-  let isLost = false
-  let failures = 0
-  let since: number | null = null
-  let refreshes = 0
-  let wake: (() => void) | undefined
+export class KindWatch<K extends ObjectKind = ObjectKind> {
+  readonly #options: WatchKindOptions<K>
+  /** Revision up to which changes are known; `null` before the first list and after a failure. */
+  #since: number | null = null
+  #isLost = false
+  #isStopped = false
+  #failures = 0
+  /** Ends the wait for a watch that is no longer wanted. */
+  #abandon: (() => void) | undefined
 
-  const recordSuccess = (): void => {
-    failures = 0
-    if (!isLost) return
-    isLost = false
-    logger.info('store regained', { kind })
-    handleRegained?.()
+  constructor (options: WatchKindOptions<K>) {
+    this.#options = options
   }
-  const recordFailure = (error: unknown): void => {
-    failures++
-    since = null
-    if (error instanceof HistoryGoneError) {
-      logger.info('history of the store is gone, listing again', { kind })
-      return
-    }
-    if (isLost) return
-    isLost = true
-    logger.warn('store lost', { kind, reason: error instanceof Error ? error.message : String(error) })
-    handleLost?.()
+
+  start (): void {
+    const { logger, kind } = this.#options
+    this.#run().catch((error: unknown) => logger.error('watch ended', { kind, error: String(error) }))
   }
-  const runOnce = async (): Promise<void> => {
-    if (since === null) {
-      const listing = await store.list(kind)
-      recordSuccess()
-      applyListing(listing)
-      since = listing.asOf
-      return
-    }
-    const seen = refreshes
-    const watching = store.watch(kind, since, waitMs)
-    const woken = new Promise<null>(resolve => { wake = () => resolve(null) })
-    const answer = await Promise.race([watching, woken])
-    wake = undefined
-    if (answer === null || seen !== refreshes) {
-      watching.catch(error => logger.debug('watch abandoned', { kind, reason: String(error) }))
-      since = null
-      return
-    }
-    recordSuccess()
-    applyChanges(answer.changes, answer.asOf)
-    since = answer.asOf
+
+  /** Lists again now, as somebody has seen a later revision. */
+  refresh (): void {
+    this.#since = null
+    this.#abandon?.()
+  }
+
+  stop (): void {
+    this.#isStopped = true
+    this.#abandon?.()
   }
-  const run = async (): Promise<void> => {
-    while (!isStopped) {
+
+  async #run (): Promise<void> {
+    while (!this.#isStopped) {
       try {
-        await runOnce()
+        if (this.#since === null) await this.#list()
+        else await this.#watch(this.#since)
       } catch (error) {
-        recordFailure(error)
-        const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(failures - 1, 4))
-        await new Promise(resolve => setTimeout(resolve, pauseMs))
+        this.#recordFailure(error)
+        await waitFor(Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(this.#failures - 1, MOST_DOUBLINGS)))
       }
     }
   }
-  run().catch(error => logger.error('watch ended', { kind, error: String(error) }))
-  return {
-    refresh: () => {
-      refreshes++
-      wake?.()
-    },
-    stop: () => {
-      isStopped = true
-      wake?.()
+
+  async #list (): Promise<void> {
+    const { store, kind, applyListing } = this.#options
+    const listing = await store.list(kind)
+    this.#recordSuccess()
+    applyListing(listing)
+    this.#since = listing.asOf
+  }
+
+  async #watch (since: number): Promise<void> {
+    const { store, kind, logger, waitMs = WATCH_WAIT_MS, applyChanges } = this.#options
+    const abandoned = new Promise<null>(resolve => { this.#abandon = () => resolve(null) })
+    const watching: Promise<Changes<ObjectKinds[K]>> = store.watch(kind, since, waitMs)
+    const answer = await Promise.race([watching, abandoned])
+    this.#abandon = undefined
+    if (answer === null) {
+      watching.catch((error: unknown) => logger.debug('watch abandoned', { kind, reason: String(error) }))
+      return
     }
+    this.#recordSuccess()
+    applyChanges(answer.changes, answer.asOf)
+    this.#since = answer.asOf
+  }
+
+  #recordSuccess (): void {
+    this.#failures = 0
+    if (!this.#isLost) return
+    this.#isLost = false
+    this.#options.logger.info('store regained', { kind: this.#options.kind })
+    this.#options.handleRegained?.()
   }
+
+  #recordFailure (error: unknown): void {
+    const { logger, kind } = this.#options
+    this.#failures++
+    this.#since = null
+    if (error instanceof HistoryGoneError) {
+      logger.info('history of the store is gone, listing again', { kind })
+      return
+    }
+    if (this.#isLost) return
+    this.#isLost = true
+    logger.warn('store lost', { kind, reason: error instanceof Error ? error.message : String(error) })
+  }
+}
+
+/** @example watchKind({ store, logger, kind: 'vms', applyListing, applyChanges }).stop() */
+export function watchKind<K extends ObjectKind> (options: WatchKindOptions<K>): KindWatch<K> {
+  const watch = new KindWatch(options)
+  watch.start()
+  return watch
 }
--- a/packages/gateway/src/pool/connection-plan.ts
+++ b/packages/gateway/src/pool/connection-plan.ts
@@ -48,7 +48,7 @@
   const idle = new Set(slots.filter(s => s.state === 'idle'))
   const opening = countByWorkspace(slots.filter(s => s.state === 'opening'))
   let open = slots.length
-  for (const waiter of orderWaiters(slots, waiters, nowMs)) {
+  for (const waiter of sortWaiters(slots, waiters, nowMs)) {
     const slot = pickIdle(idle, waiter)
     if (slot !== undefined) {
       idle.delete(slot)
@@ -91,7 +91,7 @@
   return isHalfWaited ? waiter.priority - 1 : waiter.priority
 }
 
-function orderWaiters (slots: readonly ConnectionSlot[], waiters: readonly Waiter[], nowMs: number): Waiter[] {
+function sortWaiters (slots: readonly ConnectionSlot[], waiters: readonly Waiter[], nowMs: number): Waiter[] {
   if (waiters.length < 2) return [...waiters]
   const busy = countByWorkspace(slots.filter(s => s.state === 'busy'))
   const readBusy = (w: Waiter): number => busy.get(w.workspace) ?? 0
--- a/packages/gateway/src/pool/endpoint-health.ts
+++ b/packages/gateway/src/pool/endpoint-health.ts
@@ -61,7 +61,7 @@
 }
 
 /** Prefers other endpoints for a while, as after an answer that it is too busy. */
-export function avoidEndpoint (health: EndpointHealth, forMs: number, nowMs: number): void {
+export function recordAvoided (health: EndpointHealth, forMs: number, nowMs: number): void {
   health.avoidUntilMs = Math.max(health.avoidUntilMs, nowMs + forMs)
 }
 
--- a/packages/gateway/src/runtime/wait-at-most.ts
+++ b/packages/gateway/src/runtime/wait-at-most.ts
@@ -16,6 +16,6 @@
   }
 }
 
-export async function sleep (ms: number): Promise<void> {
+export async function waitFor (ms: number): Promise<void> {
   await new Promise(resolve => setTimeout(resolve, ms))
 }
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -50,11 +50,11 @@
   }
 
   handleStatement = (statement: ClientStatement): void => {
-    this.#enqueue(statement)
+    this.#addStatement(statement)
   }
 
   handleMalformed = (reason: string): void => {
-    this.#enqueue({ malformed: reason })
+    this.#addStatement({ malformed: reason })
   }
 
   handleClose = (): void => {
@@ -83,7 +83,7 @@
   endTransaction (reason: string): void {
     if (this.#isRunning || this.#state.transaction === 'idle' || this.#lostReason !== null) return
     clearTimeout(this.#idleTimer)
-    this.#loseTransaction(reason)
+    this.#abandonTransaction(reason)
   }
 
   /** Takes in a new configuration: a session whose key is gone ends, an open transaction does not. */
@@ -105,7 +105,7 @@
     this.#runNext()
   }
 
-  #enqueue (item: ClientStatement | { malformed: string }): void {
+  #addStatement (item: ClientStatement | { malformed: string }): void {
     if (this.#isClosed) return
     if (this.#queue.length >= MOST_QUEUED) return this.#close()
     this.#queue.push(item)
@@ -132,10 +132,10 @@
     if (this.#isClosed) return this.#transaction?.rollback()
     if (this.#queue.length > 0) return this.#runNext()
     if (this.#mustClose && this.#state.transaction === 'idle') return this.#close()
-    if (this.#transaction !== null) this.#idleTimer = setTimeout(() => this.#loseTransaction('the transaction was idle for too long'), this.#host.readTransactionIdleMs())
+    if (this.#transaction !== null) this.#idleTimer = setTimeout(() => this.#abandonTransaction('the transaction was idle for too long'), this.#host.readTransactionIdleMs())
   }
 
-  #loseTransaction (reason: string): void {
+  #abandonTransaction (reason: string): void {
     this.#host.logger.info('transaction ended', { session: this.id, workspace: this.#workspace, reason })
     this.#transaction?.rollback()
     this.#transaction = null
@@ -193,9 +193,9 @@
   async #runInTransaction (statement: ClientStatement, plan: { isWrite: boolean, preparedName: string | null }): Promise<void> {
     const operation = this.#createOperation(statement, plan.preparedName)
     const transaction = await this.#findTransaction(operation)
-    if ('refusal' in transaction) return this.#failTransaction(operation, transaction)
+    if ('refusal' in transaction) return this.#finishFailed(operation, transaction)
     const outcome = await transaction.run(operation, plan.isWrite)
-    if ('refusal' in outcome || outcome.answer.error !== null) return this.#failTransaction(operation, outcome)
+    if ('refusal' in outcome || outcome.answer.error !== null) return this.#finishFailed(operation, outcome)
     this.#answerOutcome(operation, outcome, 'open', false)
   }
 
@@ -208,7 +208,7 @@
     return opened.transaction
   }
 
-  #failTransaction (operation: Operation, outcome: Outcome): void {
+  #finishFailed (operation: Operation, outcome: Outcome): void {
     this.#transaction?.rollback()
     this.#transaction = null
     this.#state.transaction = 'failed'
--- a/packages/gateway/src/sessions/gateway-session-host.ts
+++ b/packages/gateway/src/sessions/gateway-session-host.ts
@@ -3,7 +3,7 @@
 import type { Configuration } from '../configuration/configuration.ts'
 import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
 import type { FailoverWatch } from '../failover/failover-watch.ts'
-import type { LeadershipQuestions } from '../failover/prove-leadership.ts'
+import type { LeadershipQuestions } from '../failover/verify-leadership.ts'
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { QuotaKeeper } from '../limits/quota-keeper.ts'
@@ -109,7 +109,7 @@
       clock,
       location: { failureDomain, regions },
       rollbackTimeoutMs: ROLLBACK_TIMEOUT_MS,
-      proveLeadership: async (group, waitMs) => await questions.prove(group, waitMs),
+      verifyLeadership: async (group, waitMs) => await questions.verifyLeadership(group, waitMs),
       findPrimaryAgain: group => { questions.findPrimary(group).catch((error: unknown) => logger.error('primary not looked for', { error: String(error) })) },
       estimateRecoveryMs: group => failover.estimateRecoveryMs(group),
       logAttempt: (operation, pool, atLeast, answer) => {
--- a/packages/gateway/src/statements/pinned-transaction.ts
+++ b/packages/gateway/src/statements/pinned-transaction.ts
@@ -47,7 +47,7 @@
 
   /** Runs a read or write. After an error the transaction is rolled back at the endpoint, so that what the error promises holds. */
   async run (operation: Operation, isWrite: boolean): Promise<Outcome> {
-    if (!this.isAlive) return this.#abort('the transaction\'s connection was lost')
+    if (!this.isAlive) return this.#abandon('the transaction\'s connection was lost')
     if (isWrite) this.#hasWritten = true
     try {
       const answer = await this.#runPatiently(operation, false)
@@ -58,13 +58,13 @@
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error)
       this.#context.logLoss(operation, this.pool, reason)
-      return this.#abort(reason)
+      return this.#abandon(reason)
     }
   }
 
   /** Commits. Without an answer the outcome is unknown, unless nothing was written. */
   async commit (operation: Operation): Promise<Outcome> {
-    if (!this.isAlive) return this.#abort('the transaction\'s connection was lost')
+    if (!this.isAlive) return this.#abandon('the transaction\'s connection was lost')
     try {
       const answer = await this.#runPatiently(operation, this.#hasWritten)
       this.#context.logAttempt(operation, this.pool, null, answer)
@@ -110,7 +110,7 @@
     }
   }
 
-  #abort (reason: string): Outcome {
+  #abandon (reason: string): Outcome {
     this.#end(false)
     return createRetryRefusal('aborted', reason, RETRY_AFTER_MS)
   }
@@ -147,7 +147,7 @@
 async function openAtPrimary (context: StatementContext, group: ServiceGroup, operation: Operation, isReadOnly: boolean): Promise<OpenedTransaction> {
   const { clock } = context
   const isFresh = (): boolean => isPrimaryFresh(group.state, readMaxStalenessMs(operation), clock.readNow())
-  if (group.isWritable && !isFresh()) await context.proveLeadership(group, computeWaitMs(operation, clock.readNow()))
+  if (group.isWritable && !isFresh()) await context.verifyLeadership(group, computeWaitMs(operation, clock.readNow()))
   const acquired = await acquirePrimary(context, group, operation)
   if ('refusal' in acquired) return acquired
   if (!isFresh()) {
@@ -178,10 +178,7 @@
     if (answer.error === null && answer.state === 'open') return { transaction: new PinnedTransaction({ context, group, pool, connection }) }
     pool.release(connection, answer.state === 'idle')
     context.logAttempt(operation, pool, atLeast, answer)
-    if (answer.error?.code === 'lagging') pool.laggingUntilMs = context.clock.readNow() + LAGGING_AVOID_MS
-    if (answer.error?.code === 'readOnly') context.findPrimaryAgain(group)
-    const code = answer.error?.code === 'lagging' || answer.error?.code === 'readOnly' ? answer.error.code : 'busy'
-    return createRetryRefusal(code, answer.error?.text ?? 'the transaction could not be opened', RETRY_AFTER_MS) as OpenedTransaction
+    return describeFailedBegin(context, group, pool, answer)
   } catch (error) {
     pool.release(connection, false)
     const reason = error instanceof Error ? error.message : String(error)
@@ -189,3 +186,10 @@
     return createRetryRefusal('aborted', reason, RETRY_AFTER_MS) as OpenedTransaction
   }
 }
+
+function describeFailedBegin (context: StatementContext, group: ServiceGroup, pool: EndpointPool, { error }: EndpointAnswer): OpenedTransaction {
+  if (error?.code === 'lagging') pool.laggingUntilMs = context.clock.readNow() + LAGGING_AVOID_MS
+  if (error?.code === 'readOnly') context.findPrimaryAgain(group)
+  const code = error?.code === 'lagging' || error?.code === 'readOnly' ? error.code : 'busy'
+  return createRetryRefusal(code, error?.text ?? 'the transaction could not be opened', RETRY_AFTER_MS) as OpenedTransaction
+}
--- a/packages/gateway/src/statements/run-read.ts
+++ b/packages/gateway/src/statements/run-read.ts
@@ -2,7 +2,7 @@
 import type { EndpointAnswer } from '../backend/endpoint-connector.ts'
 import type { ErrorCode } from '../backend/statement.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
-import { avoidEndpoint } from '../pool/endpoint-health.ts'
+import { recordAvoided } from '../pool/endpoint-health.ts'
 import { PoolError } from '../pool/errors.ts'
 import type { PooledConnection } from '../pool/pooled-connection.ts'
 import { isPrimaryFresh } from '../freshness/group-state.ts'
@@ -42,20 +42,25 @@
   const budget = readBudget(group)
   recordRequest(budget)
   let last: Attempt | undefined
-  for (let attempts = 0; ; attempts++) {
-    const target = attempts === 0 ? await findProvenTarget(context, group, operation) : selectNext(context, group, operation, tried, attempts)
+  let target = await findProvenTarget(context, group, operation)
+  for (let attempts = 1; ; attempts++) {
     if (typeof target !== 'string') {
       tried.add(target.pool.entry.endpoint)
       pending.add(startAttempt(context, group, operation, target))
     } else if (pending.size === 0) return describeFailure(operation, target, last)
-    const hedgeMs = typeof target === 'string' ? computeTimeLeftMs(operation, clock.readNow()) : computeHedgeMs(target)
-    last = await waitForAttempt(pending, hedgeMs) ?? last
-    if (last?.kind === 'answered' && !isRetryable(last.answer.error?.code)) return { answer: last.answer, endpoint: last.endpoint }
+    const waitMs = typeof target === 'string' ? computeTimeLeftMs(operation, clock.readNow()) : computeHedgeMs(target)
+    last = await waitForAttempt(pending, waitMs) ?? last
+    if (isFinal(last)) return { answer: last.answer, endpoint: last.endpoint }
     if (computeTimeLeftMs(operation, clock.readNow()) <= 1) return describeFailure(operation, 'none', last)
-    if (pending.size > 0 && attempts > 0 && !spendRetry(budget)) attempts = MOST_ATTEMPTS
+    const mayHedge = pending.size === 0 || spendRetry(budget)
+    target = mayHedge ? selectNext(context, group, operation, tried, attempts) : 'none'
   }
 }
 
+function isFinal (attempt: Attempt | undefined): attempt is Extract<Attempt, { kind: 'answered' }> {
+  return attempt?.kind === 'answered' && !isRetryable(attempt.answer.error?.code)
+}
+
 function isRetryable (code: ErrorCode | undefined): boolean {
   return code === 'busy' || code === 'lagging' || code === 'failed' || code === 'noStatement'
 }
@@ -80,7 +85,7 @@
   const find = (): ReadTarget | 'unproven' | 'none' => findReadTarget(group, operation, new Set(), context.location, context.clock)
   const target = find()
   if (target !== 'unproven') return target === 'none' ? await waitForTarget(context, group, operation, find) : target
-  await context.proveLeadership(group, computeWaitMs(operation, context.clock.readNow()))
+  await context.verifyLeadership(group, computeWaitMs(operation, context.clock.readNow()))
   return find()
 }
 
@@ -122,7 +127,7 @@
     await Promise.all(restored)
     pool.release(connection, answer.state === 'idle')
     if (answer.error?.code === 'lagging') pool.laggingUntilMs = clock.readNow() + LAGGING_AVOID_MS
-    if (answer.error?.code === 'busy') avoidEndpoint(pool.health, BUSY_AVOID_MS, clock.readNow())
+    if (answer.error?.code === 'busy') recordAvoided(pool.health, BUSY_AVOID_MS, clock.readNow())
     context.logAttempt(operation, pool, atLeast, answer)
     return { kind: 'answered', answer, endpoint: pool.entry.endpoint }
   } catch (error) {
--- a/packages/gateway/src/statements/statement-context.ts
+++ b/packages/gateway/src/statements/statement-context.ts
@@ -10,7 +10,7 @@
   clock: Clock
   location: Location
   /** Asks the group whether its primary still leads. */
-  proveLeadership: (group: ServiceGroup, waitMs: number) => Promise<void>
+  verifyLeadership: (group: ServiceGroup, waitMs: number) => Promise<void>
   /** Asks which endpoint leads, after one that was taken for the primary said that it does not. */
   findPrimaryAgain: (group: ServiceGroup) => void
   /** Milliseconds until the group is likely to take writes again. */
--- a/packages/wire/src/process/bounded-output.ts
+++ b/packages/wire/src/process/bounded-output.ts
@@ -31,7 +31,7 @@
 
   override _write (chunk: Buffer, _encoding: string, done: () => void): void {
     if (this.#waitingBytes + chunk.length > MAX_WAITING_BYTES) this.#dropped++
-    else this.#keep(chunk)
+    else this.#addChunk(chunk)
     this.#flush()
     done()
   }
@@ -42,7 +42,7 @@
     writeSync(STDOUT_FD, Buffer.concat(this.#waiting.splice(0)))
   }
 
-  #keep (chunk: Buffer): void {
+  #addChunk (chunk: Buffer): void {
     this.#waiting.push(chunk)
     this.#waitingBytes += chunk.length
   }
@@ -50,7 +50,7 @@
   #flush (): void {
     if (this.#isWriting || this.#waiting.length === 0) return
     if (this.#dropped > 0 && this.#waitingBytes < MAX_WAITING_BYTES / 2) {
-      this.#keep(Buffer.from(`${JSON.stringify({ level: 'warn', message: 'log lines dropped', count: this.#dropped })}\n`))
+      this.#addChunk(Buffer.from(`${JSON.stringify({ level: 'warn', message: 'log lines dropped', count: this.#dropped })}\n`))
       this.#dropped = 0
     }
     const chunk = Buffer.concat(this.#waiting.splice(0))
--- a/scripts/check-verbs.js
+++ b/scripts/check-verbs.js
@@ -19,7 +19,7 @@
   const found = []
   const visit = node => {
     if (isFunctionName(node) && (ts.isIdentifier(node.name) || ts.isPrivateIdentifier(node.name))) {
-      const name = node.name.text.replace(/^#/, '')
+      const name = node.name.text.replace(/^[#_]/, '')
       const verb = /^[a-z]+/.exec(name)?.[0] ?? ''
       const line = source.getLineAndCharacterOfPosition(node.getStart()).line + 1
       if (!verbs.has(verb)) found.push(`${file}:${line}: ${name}`)
