--- a/packages/gateway/src/metadata/watch-kind.test.ts
+++ b/packages/gateway/src/metadata/watch-kind.test.ts
@@ -52,7 +52,7 @@
     await waitUntil(() => watch.names.has('a'))
     store.drop('vms', 'a')
     store.replace('vms', 'b', {})
-    store.compact()
+    store.dropHistory()
     await waitUntil(() => watch.names.has('b') && !watch.names.has('a'))
     watch.stop()
   })
@@ -63,7 +63,7 @@
     store.replace('vms', 'a', {})
     await waitUntil(() => watch.names.has('a'))
     store.isDown = true
-    store.compact()
+    store.dropHistory()
     store.replace('vms', 'b', {})
     await new Promise(resolve => setTimeout(resolve, 60))
     expect(watch.names.has('b')).to.equal(false)
--- a/packages/gateway/src/pool/connection-plan.test.ts
+++ b/packages/gateway/src/pool/connection-plan.test.ts
@@ -56,6 +56,8 @@
 
 /** Load: one workspace asks ten times as often as the others; each request holds a connection for a while. */
 describe('connections under a workspace that asks for far more than the others', () => {
+  const readSide = (workspace: string): 'hot' | 'others' => workspace === 'hot' ? 'hot' : 'others'
+
   function playLoad (isFair: boolean): { hot: number, others: number } {
     const random = createSeededRandom(3)
     const slots: ConnectionSlot[] = []
@@ -66,10 +68,9 @@
     let ids = 0
     for (let nowMs = 0; nowMs < 20_000; nowMs += 5) {
       for (const slot of slots) if (slot.state === 'busy' && endsAt.get(slot.id)! <= nowMs) Object.assign(slot, { state: 'idle', usedAtMs: nowMs })
-      for (let i = 0; i < 4; i++) {
-        const workspace = i === 0 ? 'hot' : `w${i}`
-        if (random() >= (i === 0 ? 0.4 : 0.04)) continue
-        asked[i === 0 ? 'hot' : 'others']++
+      for (const [workspace, part] of Object.entries({ hot: 0.4, w1: 0.04, w2: 0.04, w3: 0.04 })) {
+        if (random() >= part) continue
+        asked[readSide(workspace)]++
         waiters.push(createWaiter(++ids, workspace, { sinceMs: nowMs, deadlineMs: nowMs + 200 }))
       }
       waiters = waiters.filter(w => w.deadlineMs > nowMs)
@@ -81,7 +82,7 @@
           Object.assign(step.slot, { state: 'busy' })
           endsAt.set(step.slot.id, nowMs + 60)
           waiters = waiters.filter(w => w !== step.waiter)
-          served[step.waiter.workspace === 'hot' ? 'hot' : 'others']++
+          served[readSide(step.waiter.workspace)]++
         }
       }
     }
--- a/packages/gateway/src/statements/run-read.ts
+++ b/packages/gateway/src/statements/run-read.ts
@@ -46,10 +46,13 @@
   for (let attempts = 1; ; attempts++) {
     if (typeof target !== 'string') {
       tried.add(target.pool.entry.endpoint)
-      pending.add(startAttempt(context, group, operation, target))
+      const nowMs = clock.readNow()
+      // A read that has been offered to an endpoint already may wait for as long as it has time.
+      const waitMs = attempts === 1 ? computeWaitMs(operation, nowMs) : computeTimeLeftMs(operation, nowMs)
+      pending.add(startAttempt(context, group, operation, target, waitMs))
     } else if (pending.size === 0) return describeFailure(operation, target, last)
-    const waitMs = typeof target === 'string' ? computeTimeLeftMs(operation, clock.readNow()) : computeHedgeMs(target)
-    last = await waitForAttempt(pending, waitMs) ?? last
+    const patienceMs = typeof target === 'string' ? computeTimeLeftMs(operation, clock.readNow()) : computeHedgeMs(target)
+    last = await waitForAttempt(pending, patienceMs) ?? last
     if (isFinal(last)) return { answer: last.answer, endpoint: last.endpoint }
     if (computeTimeLeftMs(operation, clock.readNow()) <= 1) return describeFailure(operation, 'none', last)
     const mayHedge = pending.size === 0 || spendRetry(budget)
@@ -110,13 +113,13 @@
   return first.result
 }
 
-async function startAttempt (context: StatementContext, group: ServiceGroup, operation: Operation, target: ReadTarget): Promise<Attempt> {
+async function startAttempt (context: StatementContext, group: ServiceGroup, operation: Operation, target: ReadTarget, waitMs: number): Promise<Attempt> {
   const { pool, atLeast } = target
   const { clock } = context
   const { workspace, contents, route, statement, preparedName } = operation
   let connection: PooledConnection
   try {
-    connection = await pool.acquire({ workspace, session: contents.session, priority: route.priority, waitMs: computeWaitMs(operation, clock.readNow()), canGoElsewhere: pool !== group.primaryPool })
+    connection = await pool.acquire({ workspace, session: contents.session, priority: route.priority, waitMs, canGoElsewhere: pool !== group.primaryPool })
   } catch (error) {
     if (!(error instanceof PoolError)) throw error
     return { kind: 'notRun', reason: error.message, code: 'busy' }
--- a/packages/gateway/src/testing/memory-store.ts
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -30,7 +30,7 @@
   }
 
   /** Forgets all changes and cuts the watches. */
-  compact (): void {
+  dropHistory (): void {
     this.#history = []
     this.#oldest = this.revision
     this.#finishWaits()
