--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -60,17 +60,21 @@
     if (primary === null || pools.length === 0) return
     const primaryEntry = group.primaryPool?.entry
     if (primary.term === 0 && primaryEntry !== undefined) await this.checkRole(group, primaryEntry)
-    const replicas = pools.filter(p => p.entry.endpoint !== primary.endpoint && Date.now() - p.entry.startedAtMs >= YOUNG_AFTER_MS)
-    const isProof = async (entry: EndpointEntry): Promise<void> => {
+    const replicas = pools.filter(p => p.entry.endpoint !== primary.endpoint)
+    const verify = async (entry: EndpointEntry): Promise<EndpointEntry> => {
       const status = await this.#probe(entry)
       const { primary: current } = group.state
       const isFollowing = status?.role === 'replica' && status.pausedForTerm === 0 && status.term === current?.term
       if (current === null || !isFollowing) throw new Error(`${entry.endpoint} does not prove it`)
-      recordLeadership(group.state, current.endpoint, sentAtMs)
-      this.#options.logger.info('leadership proven', { service: group.service, primary: current.endpoint, term: current.term, by: entry.endpoint })
+      return entry
     }
+    const verified = replicas.map(p => ({ entry: p.entry, proof: verify(p.entry) }))
+    const settled = verified.filter(v => Date.now() - v.entry.startedAtMs >= YOUNG_AFTER_MS).map(v => v.proof)
     try {
-      await Promise.any(replicas.map(p => isProof(p.entry)))
+      // All replicas together prove it also where each has started lately: they did not all forget a pause.
+      await Promise.any([...settled, ...verified.length > 1 ? [Promise.all(verified.map(v => v.proof))] : []])
+      recordLeadership(group.state, primary.endpoint, sentAtMs)
+      this.#options.logger.info('leadership proven', { service: group.service, primary: primary.endpoint, term: group.state.primary?.term, asked: replicas.length })
     } catch {
       this.#options.logger.info('leadership not proven', { service: group.service, primary: primary.endpoint, term: primary.term, asked: replicas.length })
     }
--- a/packages/gateway/src/fleet/fleet-messages.ts
+++ b/packages/gateway/src/fleet/fleet-messages.ts
@@ -6,6 +6,7 @@
 import { isRevoked, restoreTrust, revokeTrust } from '../freshness/group-state.ts'
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
+import type { PressedRecord } from '../limits/pressed-record.ts'
 import type { QuotaKeeper } from '../limits/quota-keeper.ts'
 import type { Fleet, FleetOptions, Poll } from './fleet.ts'
 import { applyGroupReport, createGroupReport } from './group-reports.ts'
@@ -27,6 +28,7 @@
   groups: GroupTable
   quotas: QuotaKeeper
   members: MemberState
+  pressedRecord: PressedRecord
 }
 
 /** What this VM says to the others, and what it does on what they say. */
@@ -46,14 +48,21 @@
     this.#failover = failover
   }
 
-  createHandlers (): Pick<FleetOptions, 'createReport' | 'createPoll' | 'applyReport' | 'handleMessage' | 'handleRound'> {
-    const { quotas } = this.#options
+  createHandlers (): Pick<FleetOptions, 'createReport' | 'createPoll' | 'applyReport' | 'handleMessage' | 'handleRound' | 'removeVm'> {
+    const { quotas, pressedRecord, groups } = this.#options
     return {
       createReport: poll => this.#createReport(poll),
       createPoll: sequence => this.#createPoll(sequence),
       applyReport: (vm, report, askedAtMs) => this.#applyReport(vm, report, askedAtMs),
       handleMessage: (vm, message) => this.#handleMessage(vm, message),
-      handleRound: () => quotas.update()
+      removeVm: vm => {
+        quotas.removeVm(vm)
+        for (const group of groups.list()) group.peers.delete(vm)
+      },
+      handleRound: () => {
+        quotas.update()
+        pressedRecord.update()
+      }
     }
   }
 
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -2,15 +2,20 @@
 import type { z } from 'zod'
 import { RevisionConflictError, type MetadataStore } from '../metadata/metadata-store.ts'
 import { watchKind, type KindWatch } from '../metadata/watch-kind.ts'
-import { addMember, FORGET_AFTER_MS, isHeard, listPolled, listPossible, recordReport, removeMember, type MemberState } from './members.ts'
+import { addMember, FORGET_AFTER_MS, isHeard, listPolled, listPossible, recordLeft, recordReport, removeMember, type MemberState } from './members.ts'
 import { fleetMessageSchema, vmEntrySchema, type FleetMessage, type pollSchema, type Report } from './messages.ts'
 
 export const FLEET_SLICE = 'fleet'
 /** Time between two rounds of polls, in milliseconds. */
 const POLL_INTERVAL_MS = 500
+/** The same right after a start, when this VM knows nothing yet. */
+const FIRST_POLL_INTERVAL_MS = 150
+const FIRST_POLLS = 8
 /** VMs seldom come and go, and polls tell of new ones as well; in milliseconds. */
 const VMS_WATCH_MS = 15_000
 const REGISTER_RETRY_MS = 700
+/** Time for the farewell to leave the process, in milliseconds. */
+const FAREWELL_MS = 30
 const SWEEP_ROUNDS = 20
 /** Polls whose sending time is kept. */
 const MOST_POLLS = 64
@@ -29,6 +34,8 @@
   applyReport: (vm: string, report: Report, askedAtMs: number) => void
   handleMessage: (vm: string, message: FleetMessage) => void
   handleRound: () => void
+  /** A VM has ended by itself. */
+  removeVm: (vm: string) => void
 }
 
 /** Knows the other VMs, and exchanges reports with them. */
@@ -67,7 +74,7 @@
       }
     })
     this.#register().catch((error: unknown) => logger.error('registration ended', { error: String(error) }))
-    this.#timer = setInterval(() => this.#startRound(), POLL_INTERVAL_MS)
+    this.#scheduleRound()
   }
 
   /** Polls now, as something depends on fresh reports. */
@@ -83,11 +90,27 @@
     this.#options.network.send(vm, FLEET_SLICE, message)
   }
 
-  /** Removes this VM's entry, as it ends for good or starts anew. */
+  /** Tells the others that this VM ends, and removes its entry. */
   async stop (): Promise<void> {
+    const { state: { self, members }, store, logger } = this.#options
     this.#isStopped = true
-    clearInterval(this.#timer)
+    clearTimeout(this.#timer)
     this.#watch?.stop()
+    for (const vm of members.keys()) this.send(vm, { type: 'left', incarnation: self.incarnation })
+    try {
+      if (this.#ownRevision !== null) await store.delete('vms', self.vm, this.#ownRevision)
+    } catch (error) {
+      logger.info('own entry not removed', { reason: String(error) })
+    }
+    await new Promise(resolve => setTimeout(resolve, FAREWELL_MS))
+  }
+
+  #scheduleRound (): void {
+    if (this.#isStopped) return
+    this.#timer = setTimeout(() => {
+      this.#scheduleRound()
+      this.#startRound()
+    }, this.#round < FIRST_POLLS ? FIRST_POLL_INTERVAL_MS : POLL_INTERVAL_MS)
   }
 
   #startRound (): void {
@@ -109,9 +132,17 @@
       if (message.vm !== undefined) this.#addEntry(message.vm)
       network.send(from.vm, FLEET_SLICE, createReport(message))
     } else if (message.type === 'report') this.#receiveReport(from.vm, message)
+    else if (message.type === 'left') this.#handleLeft(from.vm, message.incarnation)
     else handleMessage(from.vm, message)
   }
 
+  #handleLeft (vm: string, incarnation: number): void {
+    const { state, logger, removeVm } = this.#options
+    logger.info('vm left', { vm })
+    recordLeft(state, vm, incarnation)
+    removeVm(vm)
+  }
+
   #receiveReport (vm: string, report: Report): void {
     const askedAtMs = this.#polls.get(report.sequence)
     if (askedAtMs === undefined) return
--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -20,10 +20,12 @@
 export interface MemberState {
   self: VmEntry
   members: Map<string, Member>
+  /** Start of each VM that has told that it ends; what is still heard of that start is out of date. */
+  left: Map<string, number>
 }
 
 export function createMemberState (self: VmEntry): MemberState {
-  return { self, members: new Map() }
+  return { self, members: new Map(), left: new Map() }
 }
 
 /**
@@ -32,7 +34,7 @@
  * @returns whether anything is new
  */
 export function addMember (state: MemberState, entry: VmEntry, nowMs: number): boolean {
-  if (entry.vm === state.self.vm) return false
+  if (entry.vm === state.self.vm || entry.incarnation <= (state.left.get(entry.vm) ?? -Infinity)) return false
   const known = state.members.get(entry.vm)
   if (known !== undefined && known.entry.incarnation >= entry.incarnation) return false
   state.members.set(entry.vm, { entry, knownSinceMs: nowMs, heardAtMs: -Infinity })
@@ -43,6 +45,14 @@
   state.members.delete(vm)
 }
 
+/** Takes in that a VM has ended by itself. */
+export function recordLeft (state: MemberState, vm: string, incarnation: number): void {
+  const known = state.members.get(vm)
+  if (known !== undefined && known.entry.incarnation > incarnation) return
+  state.left.set(vm, incarnation)
+  state.members.delete(vm)
+}
+
 export function recordReport (state: MemberState, vm: string, pollSentAtMs: number): void {
   const member = state.members.get(vm)
   if (member !== undefined) member.heardAtMs = Math.max(member.heardAtMs, pollSentAtMs)
--- a/packages/gateway/src/fleet/messages.ts
+++ b/packages/gateway/src/fleet/messages.ts
@@ -107,5 +107,8 @@
   term: z.number().int()
 })
 
-export const fleetMessageSchema = z.discriminatedUnion('type', [pollSchema, reportSchema, revokeSchema, revokedSchema, promotedSchema])
+/** A VM ends after it has served its last client. */
+export const leftSchema = z.object({ type: z.literal('left'), incarnation: z.number() })
+
+export const fleetMessageSchema = z.discriminatedUnion('type', [leftSchema, pollSchema, reportSchema, revokeSchema, revokedSchema, promotedSchema])
 export type FleetMessage = z.infer<typeof fleetMessageSchema>
--- a/packages/gateway/src/limits/demand-shares.ts
+++ b/packages/gateway/src/limits/demand-shares.ts
@@ -1,4 +1,4 @@
-import { computeQuotaShare, type Demand } from './quota.ts'
+import { computeQuotaShare, type Demand, type FleetDemand } from './quota.ts'
 
 /** A report of a VM counts for this long after it was last heard, in milliseconds. */
 const REPORT_LIFE_MS = 20_000
@@ -39,10 +39,13 @@
   for (const [vm, { heardAtMs }] of shares.others) if (nowMs - heardAtMs > REPORT_LIFE_MS) shares.others.delete(vm)
 }
 
-/** This VM's part of a workspace's limit among `vms` VMs. */
-export function readQuotaShare (shares: DemandShares, workspace: string, vms: number): number {
-  const own = shares.told.get(workspace) ?? 0
-  let total = own
-  for (const { demand } of shares.others.values()) total += demand.get(workspace) ?? 0
-  return computeQuotaShare({ own, total, vms })
+/** Describes the demand on the whole fleet of `vms` VMs. */
+export function createFleetDemand (shares: DemandShares, vms: number, isComplete: boolean): FleetDemand {
+  const readTotal = (workspace: string): number => {
+    let total = shares.told.get(workspace) ?? 0
+    for (const { demand } of shares.others.values()) total += demand.get(workspace) ?? 0
+    return total
+  }
+  const readShare = (workspace: string): number => computeQuotaShare({ own: shares.told.get(workspace) ?? 0, total: readTotal(workspace), vms })
+  return { vms, isComplete, readShare, readTotal }
 }
--- a/packages/gateway/src/limits/quota-keeper.ts
+++ b/packages/gateway/src/limits/quota-keeper.ts
@@ -2,9 +2,9 @@
 import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
 import { isHeard, type MemberState } from '../fleet/members.ts'
 import type { GatewaySettings } from '../settings.ts'
-import { createDemandShares, readQuotaShare, recordVmDemand, sweepDemand, updateOwnDemand } from './demand-shares.ts'
+import { createDemandShares, createFleetDemand, recordVmDemand, sweepDemand, updateOwnDemand } from './demand-shares.ts'
 import { createDemandWindow, recordDemand, sumDemand } from './demand-window.ts'
-import { admitOperation, createQuotaState, updateQuotas, type QuotaVerdict } from './quota.ts'
+import { admitOperation, applyPressedBefore, createQuotaState, updateQuotas, type QuotaVerdict } from './quota.ts'
 
 const MS_PER_SECOND = 1_000
 
@@ -26,7 +26,7 @@
     this.#options = options
     const { quota, isFirstStart } = options.settings
     const windowMs = quota.windowS * MS_PER_SECOND
-    this.#state = createQuotaState({ windowMs, overshoot: quota.overshoot, slack: quota.slack }, isFirstStart)
+    this.#state = createQuotaState({ windowMs, overshoot: quota.overshoot, slack: quota.slack }, isFirstStart, options.clock.readNow())
     this.#window = createDemandWindow(windowMs)
   }
 
@@ -45,14 +45,36 @@
     recordVmDemand(this.#shares, vm, new Map(demand), this.#options.clock.readNow())
   }
 
+  /** Takes in that a VM has ended: its part is free. */
+  removeVm (vm: string): void {
+    this.#shares.others.delete(vm)
+  }
+
   /** Takes in the demand of the last window, and the limits as they stand. */
   update (): void {
     const { clock, members, configuration } = this.#options
     const nowMs = clock.readNow()
     const all = [...members.members.values()]
-    updateOwnDemand(this.#shares, sumDemand(this.#window, nowMs), all.every(m => isHeard(m, nowMs)))
+    const isComplete = all.every(m => isHeard(m, nowMs))
+    updateOwnDemand(this.#shares, sumDemand(this.#window, nowMs), isComplete)
     sweepDemand(this.#shares, nowMs)
-    const vms = all.length + 1
-    updateQuotas(this.#state, configuration.current?.workspaces ?? [], workspace => readQuotaShare(this.#shares, workspace, vms), vms, nowMs)
+    updateQuotas(this.#state, configuration.current?.workspaces ?? [], createFleetDemand(this.#shares, all.length + 1, isComplete), nowMs)
+  }
+
+  /** Whether this VM has counted for a whole window since its start. */
+  get isSettled (): boolean {
+    const { startedAtMs, tolerance } = this.#state
+    return this.#options.clock.readNow() - startedAtMs >= tolerance.windowMs
+  }
+
+  /** Workspaces that ask for nearly all that their limit allows, or more. */
+  listPressed (): string[] {
+    return [...this.#state.pressed].sort()
+  }
+
+  /** Takes in which workspaces were pressed before this process started. */
+  applyPressedBefore (pressed: readonly string[]): void {
+    applyPressedBefore(this.#state, pressed)
+    this.update()
   }
 }
--- a/packages/gateway/src/limits/quota.ts
+++ b/packages/gateway/src/limits/quota.ts
@@ -4,9 +4,15 @@
 /** Operations of a window that are added to what each VM was asked for, as few operations tell little of the next ones. */
 const PRIOR_OPERATIONS = 1
 /** Part of the tolerated excess that is spread over the VMs, so that few operations need not come evenly. */
-const SPREAD_PART = 0.8
+const SPREAD_PART = 0.5
 /** Part of the tolerated excess that a restarted VM may use, as it does not know what it used before. */
-const RESTART_PART = 0.3
+const RESTART_PART = 0.2
+/** A workspace that asks for less than this part of its rate is calm: its limit is far from used up. */
+const CALM_PART = 0.8
+/** Part of a calm workspace's limit that all VMs together may admit in a round beyond their parts. */
+const LENT_PART = 0.05
+/** Part of its burst that a workspace may use right after a restart if it was calm before. */
+const REMEMBERED_PART = 0.7
 /** Smallest rate of a bucket, in operations per millisecond; a limit of 0 admits nothing. */
 const MIN_RATE = 1e-6
 const MS_PER_SECOND = 1_000
@@ -20,6 +26,17 @@
   slack: number
 }
 
+/** What is known of the demand on the whole fleet. */
+export interface FleetDemand {
+  vms: number
+  /** Whether every VM was heard lately. */
+  isComplete: boolean
+  /** This VM's part of a workspace's limit. */
+  readShare: (workspace: string) => number
+  /** Operations of a workspace that all VMs were asked for in the last window. */
+  readTotal: (workspace: string) => number
+}
+
 /** Operations that each VM was asked for in the last window, by workspace. */
 export type Demand = ReadonlyMap<string, number>
 
@@ -27,11 +44,30 @@
   tolerance: QuotaTolerance
   /** Whether this process may start with full buckets, as nothing has been used yet. */
   isFirstStart: boolean
+  /** Workspaces that are known not to have been calm before this process started; `null` while that is not known. */
+  pressedBefore: ReadonlySet<string> | null
+  startedAtMs: number
   buckets: Map<string, TokenBucket>
+  /** Operations that may be admitted beyond this VM's part until the next round. */
+  lent: Map<string, number>
+  /** Workspaces that are not calm now. */
+  pressed: Set<string>
+}
+
+export function createQuotaState (tolerance: QuotaTolerance, isFirstStart: boolean, nowMs = 0): QuotaState {
+  return { tolerance, isFirstStart, pressedBefore: null, startedAtMs: nowMs, buckets: new Map(), lent: new Map(), pressed: new Set() }
+}
+
+/** Takes in which workspaces were not calm before this process started; the others may use their burst at once. */
+export function applyPressedBefore (state: QuotaState, pressed: Iterable<string>): void {
+  state.pressedBefore = new Set(pressed)
+  state.buckets.clear()
 }
 
-export function createQuotaState (tolerance: QuotaTolerance, isFirstStart: boolean): QuotaState {
-  return { tolerance, isFirstStart, buckets: new Map() }
+/** Whether the workspace may have used up its limit before this process started, within the present window. */
+function isUseUnknown (state: QuotaState, workspace: string, nowMs: number): boolean {
+  const isYoung = !state.isFirstStart && nowMs - state.startedAtMs < state.tolerance.windowMs
+  return isYoung && (state.pressedBefore === null || state.pressedBefore.has(workspace))
 }
 
 /**
@@ -43,29 +79,44 @@
   return (own + PRIOR_OPERATIONS) / (total + PRIOR_OPERATIONS * Math.max(1, vms))
 }
 
-/** Takes in limits and shares among `vms` VMs; workspaces without a limit have no bucket. */
-export function updateQuotas (state: QuotaState, workspaces: readonly Workspace[], readShare: (workspace: string) => number, vms: number, nowMs: number): void {
-  for (const workspace of workspaces) updateQuota(state, workspace, readShare(workspace.name), vms, nowMs)
+/** Takes in limits and demand, once a round; workspaces without a limit have no bucket. */
+export function updateQuotas (state: QuotaState, workspaces: readonly Workspace[], fleet: FleetDemand, nowMs: number): void {
+  for (const workspace of workspaces) updateQuota(state, workspace, fleet, nowMs)
   const names = new Set(workspaces.map(w => w.name))
-  for (const name of state.buckets.keys()) if (!names.has(name)) state.buckets.delete(name)
+  for (const name of state.buckets.keys()) if (!names.has(name)) removeQuota(state, name)
 }
 
-function updateQuota (state: QuotaState, { name, ratePerSecond, burst = 0 }: Workspace, share: number, vms: number, nowMs: number): void {
-  if (ratePerSecond === undefined) {
-    state.buckets.delete(name)
-    return
-  }
+function removeQuota (state: QuotaState, name: string): void {
+  state.buckets.delete(name)
+  state.lent.delete(name)
+  state.pressed.delete(name)
+}
+
+function updateQuota (state: QuotaState, { name, ratePerSecond, burst = 0 }: Workspace, fleet: FleetDemand, nowMs: number): void {
+  if (ratePerSecond === undefined) return removeQuota(state, name)
   const { windowMs, overshoot, slack } = state.tolerance
-  const excess = (ratePerSecond * windowMs / MS_PER_SECOND + burst) * overshoot + slack
+  const share = fleet.readShare(name)
+  const rateInWindow = ratePerSecond * windowMs / MS_PER_SECOND
+  const excess = (rateInWindow + burst) * overshoot + slack
   const rate = Math.max(MIN_RATE, ratePerSecond * share / MS_PER_SECOND)
-  const ownBurst = ratePerSecond + burst === 0 ? 0 : Math.max(1, burst * share + SPREAD_PART * excess / vms)
+  const ownBurst = ratePerSecond + burst === 0 ? 0 : Math.max(1, burst * share + SPREAD_PART * excess / fleet.vms)
   const bucket = state.buckets.get(name)
-  if (bucket !== undefined) {
-    replaceRate(bucket, rate, ownBurst, nowMs)
-    return
+  if (bucket !== undefined) replaceRate(bucket, rate, ownBurst, nowMs)
+  else {
+    const level = isUseUnknown(state, name, nowMs) ? Math.min(ownBurst, RESTART_PART * excess * share) : state.isFirstStart ? ownBurst : Math.min(ownBurst, REMEMBERED_PART * burst * share)
+    state.buckets.set(name, createBucket(rate, ownBurst, nowMs - level / rate))
   }
-  const level = state.isFirstStart ? ownBurst : Math.min(ownBurst, RESTART_PART * excess * share)
-  state.buckets.set(name, createBucket(rate, ownBurst, nowMs - level / rate))
+  updateLent(state, name, { rateInWindow, lendable: LENT_PART * (rateInWindow + burst + slack) / fleet.vms }, fleet, nowMs)
+}
+
+/** While all VMs together are asked for well below the limit, one may go beyond its part a little. */
+function updateLent (state: QuotaState, name: string, { rateInWindow, lendable }: { rateInWindow: number, lendable: number }, fleet: FleetDemand, nowMs: number): void {
+  const isCalm = fleet.readTotal(name) < CALM_PART * rateInWindow
+  if (isCalm) state.pressed.delete(name)
+  else state.pressed.add(name)
+  const isObserved = nowMs - state.startedAtMs >= state.tolerance.windowMs
+  if (!isCalm || !fleet.isComplete || !isObserved) state.lent.delete(name)
+  else state.lent.set(name, Math.min((state.lent.get(name) ?? 0) + lendable, Math.max(1, lendable)))
 }
 
 export type QuotaVerdict = { isAdmitted: true } | { isAdmitted: false, retryAfterMs: number }
@@ -74,6 +125,11 @@
 export function admitOperation (state: QuotaState, workspace: string, nowMs: number): QuotaVerdict {
   const bucket = state.buckets.get(workspace)
   if (bucket === undefined) return { isAdmitted: true }
+  const lent = state.lent.get(workspace) ?? 0
+  if (countAvailable(bucket, nowMs) < 1 && lent >= 1) {
+    state.lent.set(workspace, lent - 1)
+    return { isAdmitted: true }
+  }
   if (countAvailable(bucket, nowMs) < 1) return { isAdmitted: false, retryAfterMs: computeRetryAfterMs(bucket, nowMs) }
   reserveTokens(bucket, 1)
   spendReserved(bucket, 1, nowMs)
--- a/packages/gateway/src/metadata/metadata-store.ts
+++ b/packages/gateway/src/metadata/metadata-store.ts
@@ -28,8 +28,12 @@
   vms: unknown
   /** Holders of duties that one VM has at a time. */
   duties: unknown
+  /** What restarted VMs need to know of the use of limits. */
+  quotas: unknown
 }
 export type ObjectKind = keyof ObjectKinds
+/** Kinds that are written by this system. */
+export type OwnKind = 'vms' | 'duties' | 'quotas'
 
 /** The platform's store of versioned objects. Calls reject with `MetadataError` when no answer came. */
 export abstract class MetadataStore {
@@ -45,7 +49,7 @@
    * @returns the revision of the change
    * @throws RevisionConflictError
    */
-  abstract write (kind: 'vms' | 'duties', name: string, value: unknown, revision: number | null): Promise<number>
-  abstract find (kind: 'vms' | 'duties', name: string): Promise<StoredObject<unknown> | undefined>
-  abstract delete (kind: 'vms' | 'duties', name: string, revision: number): Promise<void>
+  abstract write (kind: OwnKind, name: string, value: unknown, revision: number | null): Promise<number>
+  abstract find (kind: OwnKind, name: string): Promise<StoredObject<unknown> | undefined>
+  abstract delete (kind: OwnKind, name: string, revision: number): Promise<void>
 }
--- a/packages/gateway/src/testing/memory-store.ts
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -1,4 +1,4 @@
-import { HistoryGoneError, MetadataError, MetadataStore, RevisionConflictError, type Change, type Changes, type Listing, type ObjectKind, type ObjectKinds, type StoredObject } from '../metadata/metadata-store.ts'
+import { HistoryGoneError, MetadataError, MetadataStore, RevisionConflictError, type Change, type Changes, type Listing, type ObjectKind, type ObjectKinds, type OwnKind, type StoredObject } from '../metadata/metadata-store.ts'
 
 type AnyObject = StoredObject<unknown>
 
@@ -57,12 +57,12 @@
     return { changes: read() as Array<Change<ObjectKinds[K]>>, asOf: this.revision }
   }
 
-  override async find (kind: 'vms' | 'duties', name: string): Promise<StoredObject<unknown> | undefined> {
+  override async find (kind: OwnKind, name: string): Promise<StoredObject<unknown> | undefined> {
     this.#check()
     return this.#objects.get(`${kind}/${name}`)
   }
 
-  override async write (kind: 'vms' | 'duties', name: string, value: unknown, revision: number | null): Promise<number> {
+  override async write (kind: OwnKind, name: string, value: unknown, revision: number | null): Promise<number> {
     this.#check()
     if ((this.#objects.get(`${kind}/${name}`)?.revision ?? null) !== revision) throw new RevisionConflictError('changed')
     const written = this.replace(kind, name, value)
@@ -70,7 +70,7 @@
     return written
   }
 
-  override async delete (kind: 'vms' | 'duties', name: string, revision: number): Promise<void> {
+  override async delete (kind: OwnKind, name: string, revision: number): Promise<void> {
     this.#check()
     if (this.#objects.get(`${kind}/${name}`)?.revision !== revision) throw new RevisionConflictError('changed')
     this.drop(kind, name)
