--- a/packages/gateway/src/limits/demand-shares.ts
+++ b/packages/gateway/src/limits/demand-shares.ts
@@ -26,7 +26,7 @@
  *
  * @param missing part of the window that lies before its start, from 0 to 1
  */
-export function completeDemand (shares: DemandShares, counted: Demand, missing: number): Demand {
+export function estimateDemand (shares: DemandShares, counted: Demand, missing: number): Demand {
   if (missing <= 0) return counted
   const completed = new Map(counted)
   const expected = shares.before ?? computeMean([...shares.others.values()].map(o => o.demand))
--- a/packages/gateway/src/limits/quota-keeper.ts
+++ b/packages/gateway/src/limits/quota-keeper.ts
@@ -2,7 +2,7 @@
 import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
 import { isHeard, type MemberState } from '../fleet/members.ts'
 import type { GatewaySettings } from '../settings.ts'
-import { completeDemand, createDemandShares, createFleetDemand, recordVmDemand, sweepDemand, updateOwnDemand } from './demand-shares.ts'
+import { estimateDemand, createDemandShares, createFleetDemand, recordVmDemand, sweepDemand, updateOwnDemand } from './demand-shares.ts'
 import { createDemandWindow, recordDemand, sumDemand } from './demand-window.ts'
 import { admitOperation, applyPressedBefore, createQuotaState, updateQuotas, type QuotaVerdict } from './quota.ts'
 
@@ -58,7 +58,7 @@
     const isComplete = all.every(m => isHeard(m, nowMs))
     const { isFirstStart, startedAtMs, tolerance } = this.#state
     const missing = isFirstStart ? 0 : 1 - (nowMs - startedAtMs) / tolerance.windowMs
-    updateOwnDemand(this.#shares, completeDemand(this.#shares, sumDemand(this.#window, nowMs), missing), isComplete || missing > 0)
+    updateOwnDemand(this.#shares, estimateDemand(this.#shares, sumDemand(this.#window, nowMs), missing), isComplete || missing > 0)
     sweepDemand(this.#shares, nowMs)
     updateQuotas(this.#state, configuration.current?.workspaces ?? [], createFleetDemand(this.#shares, all.length + 1, isComplete), nowMs)
   }
--- a/packages/gateway/src/limits/quota.test.ts
+++ b/packages/gateway/src/limits/quota.test.ts
@@ -1,7 +1,7 @@
 import { createSeededRandom } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import type { Workspace } from '../configuration/configuration.ts'
-import { completeDemand, createDemandShares, createFleetDemand, recordVmDemand, updateOwnDemand } from './demand-shares.ts'
+import { estimateDemand, createDemandShares, createFleetDemand, recordVmDemand, updateOwnDemand } from './demand-shares.ts'
 import { createDemandWindow, recordDemand, sumDemand } from './demand-window.ts'
 import { admitOperation, applyPressedBefore, computeQuotaShare, createQuotaState, updateQuotas, type FleetDemand } from './quota.ts'
 
@@ -77,7 +77,7 @@
   vms.forEach((vm, i) => {
     const isComplete = !cut.some(Boolean)
     const missing = vm.state.isFirstStart ? 0 : 1 - (nowMs - vm.state.startedAtMs) / tolerance.windowMs
-    updateOwnDemand(vm.shares, completeDemand(vm.shares, sumDemand(vm.window, nowMs), missing), isComplete || missing > 0)
+    updateOwnDemand(vm.shares, estimateDemand(vm.shares, sumDemand(vm.window, nowMs), missing), isComplete || missing > 0)
     const fleet = createFleetDemand(vm.shares, vms.length, isComplete)
     const naive = { ...fleet, isComplete: false, readShare: () => 1 / vms.length }
     updateQuotas(vm.state, [workspace], load.isEven === true ? naive : fleet, nowMs)
@@ -154,9 +154,9 @@
   it('gives a VM that starts again among others the part that its clients need', () => {
     const shares = createDemandShares()
     for (const vm of ['a', 'b', 'c']) recordVmDemand(shares, vm, new Map([['lab', 60]]), 0)
-    expect(completeDemand(shares, new Map(), 1).get('lab')).to.equal(60)
-    expect(completeDemand(shares, new Map([['lab', 30]]), 0.5).get('lab')).to.equal(60)
-    expect(completeDemand(shares, new Map([['lab', 55]]), 0).get('lab')).to.equal(55)
+    expect(estimateDemand(shares, new Map(), 1).get('lab')).to.equal(60)
+    expect(estimateDemand(shares, new Map([['lab', 30]]), 0.5).get('lab')).to.equal(60)
+    expect(estimateDemand(shares, new Map([['lab', 55]]), 0).get('lab')).to.equal(55)
   })
 
   it('admits nothing at a rate of 0, and everything without a rate', () => {
