--- a/packages/gateway/src/failover/failover-watch.ts
+++ b/packages/gateway/src/failover/failover-watch.ts
@@ -1,5 +1,6 @@
 import type { Clock, Logger } from '@camphorpitch/wire'
 import { computeRank, listHeard, listPossible, type MemberState } from '../fleet/members.ts'
+import { isRevoked } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { measureSilence } from '../pool/endpoint-health.ts'
 import { findPromotionReason, type PromotionEvidence } from './decide-promotion.ts'
@@ -62,7 +63,8 @@
   #checkGroup (group: ServiceGroup): void {
     const { service } = group
     const nowMs = this.#options.clock.readNow()
-    if (this.#running.has(service)) return
+    // A VM that has been asked to revoke its trust leaves the change to the one that asked.
+    if (this.#running.has(service) || isRevoked(group.state, nowMs)) return
     const evidence = this.#collectEvidence(group, nowMs)
     if (evidence.silenceMs >= DOUBT_AFTER_MS || evidence.refusedMs > 0) this.#options.poll()
     if (nowMs < (this.#notBeforeMs.get(service) ?? -Infinity)) return
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -38,8 +38,8 @@
   promoter: Promoter
   /** Asks all VMs not to trust the primary, this one included. */
   revoke: (group: ServiceGroup, term: number, isPlanned: boolean, waitMs: number) => Promise<Revocation>
-  /** Tells all VMs who leads; `null` when the attempt came to nothing. */
-  publishOutcome: (group: ServiceGroup, endpoint: string | null, term: number) => void
+  /** Tells all VMs who leads, as it did at `ledAtMs`; `null` when the attempt came to nothing. */
+  publishOutcome: (group: ServiceGroup, endpoint: string | null, term: number, ledAtMs: number) => void
 }
 
 interface Attempt {
@@ -51,6 +51,8 @@
   term: number
   old: EndpointEntry | undefined
   replicas: EndpointEntry[]
+  /** When the new primary was last seen to lead. */
+  ledAtMs: number
 }
 
 /**
@@ -71,7 +73,7 @@
   }
   const entries = [...group.pools.values()].map(p => p.entry)
   const old = entries.find(e => e.endpoint === group.state.primary?.endpoint)
-  const attempt: Attempt = { host, group, reason, claim, old, replicas: entries.filter(e => e !== old), term: (group.state.primary?.term ?? 0) + 1 }
+  const attempt: Attempt = { host, group, reason, claim, old, replicas: entries.filter(e => e !== old), ledAtMs: -Infinity, term: (group.state.primary?.term ?? 0) + 1 }
   host.logger.warn('promotion begins', { service: group.service, reason, old: old?.endpoint, term: attempt.term, fencingToken: claim.fencingToken })
   let promoted: string | null = null
   try {
@@ -171,10 +173,12 @@
   if (entry === undefined) return null
   while (host.clock.readNow() < untilMs) {
     await waitFor(STATUS_INTERVAL_MS)
+    const askedAtMs = host.clock.readNow()
     const [known] = await runOnAll(attempt, [entry], async c => await c.readStatus())
     if (known?.status.role !== 'primary') continue
     host.logger.warn('promotion took effect', { service: group.service, endpoint, term: known.status.term })
     attempt.term = known.status.term
+    attempt.ledAtMs = askedAtMs
     return endpoint
   }
   return null
@@ -182,7 +186,7 @@
 
 async function finishAttempt (attempt: Attempt, promoted: string | null): Promise<void> {
   const { host, group, claim, replicas, old, term } = attempt
-  host.publishOutcome(group, promoted, term)
+  host.publishOutcome(group, promoted, term, attempt.ledAtMs)
   const others = replicas.filter(e => e.endpoint !== promoted)
   await runOnAll(attempt, others, async c => await c.resume())
   if (old !== undefined && promoted !== null && promoted !== old.endpoint) await runOnAll(attempt, [old], async c => await c.demote(term))
--- a/packages/gateway/src/fleet/fleet-messages.ts
+++ b/packages/gateway/src/fleet/fleet-messages.ts
@@ -3,7 +3,7 @@
 import type { DirectoryState } from '../directory/directory.ts'
 import type { FailoverWatch } from '../failover/failover-watch.ts'
 import type { PromotionHost, Revocation } from '../failover/run-promotion.ts'
-import { isRevoked, restoreTrust, revokeTrust } from '../freshness/group-state.ts'
+import { isRevoked, recordLeadership, restoreTrust, revokeTrust } from '../freshness/group-state.ts'
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { QuotaRecord } from '../limits/quota-record.ts'
@@ -69,7 +69,7 @@
   createPromotionCalls (): Pick<PromotionHost, 'revoke' | 'publishOutcome'> {
     return {
       revoke: async (group, term, isPlanned, waitMs) => await this.#revoke(group, term, isPlanned, waitMs),
-      publishOutcome: (group, endpoint, term) => this.#publishOutcome(group, endpoint, term)
+      publishOutcome: (group, endpoint, term, ledAtMs) => this.#publishOutcome(group, endpoint, term, ledAtMs)
     }
   }
 
@@ -139,10 +139,11 @@
     return { ...revocation, acknowledged: isOwnLater ? acknowledged : revocation.acknowledged }
   }
 
-  #publishOutcome (group: ServiceGroup, endpoint: string | null, term: number): void {
+  #publishOutcome (group: ServiceGroup, endpoint: string | null, term: number, ledAtMs: number): void {
     const message = { type: 'promoted' as const, service: group.service, endpoint: endpoint ?? undefined, term }
     for (const vm of this.#options.members.members.keys()) this.#fleet?.send(vm, message)
     this.#handleOutcome(this.#options.self.vm, message)
+    if (endpoint !== null) recordLeadership(group.state, endpoint, ledAtMs)
   }
 
   #handleOutcome (vm: string, { service, endpoint, term }: Extract<FleetMessage, { type: 'promoted' }>): void {
@@ -155,5 +156,6 @@
     }
     this.#failover?.recordChange(service)
     group.adoptPrimary(endpoint, term, `promoted by ${vm}`)
+    if (vm !== this.#options.self.vm) this.#fleet?.poll() // The promoter's report proves that the primary leads.
   }
 }
--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -4,7 +4,7 @@
  * Time for which a proof of leadership lets reads go to the primary, in milliseconds. A promoter waits as
  * long after it has fenced the old primary, unless every VM has confirmed that it no longer trusts it.
  */
-export const LEADER_LEASE_MS = 1_500
+export const LEADER_LEASE_MS = 1_000
 /** Longest time that a promoter may take after it asked for trust to be revoked, in milliseconds. */
 export const REVOKED_MS = 5_000
 /** Samples nearer to each other than this are not kept apart, in milliseconds. */
