--- /dev/null
+++ b/packages/gateway/src/fleet/group-reports.test.ts
@@ -0,0 +1,61 @@
+import { createLogger, createSeededRandom } from '@camphorpitch/wire'
+import { expect } from 'chai'
+import { EndpointConnector, type EndpointConnection } from '../backend/endpoint-connector.ts'
+import { findRequiredPosition, isPrimaryFresh, LEADER_LEASE_MS, recordAnswer, recordCommit, updatePrimary } from '../freshness/group-state.ts'
+import { ServiceGroup } from '../groups/service-group.ts'
+import { VirtualClock } from '../testing/virtual-clock.ts'
+import { applyGroupReport, createGroupReport } from './group-reports.ts'
+import { decodeGroupReport, encodeGroupReport } from './messages.ts'
+
+class NoConnector extends EndpointConnector {
+  override async connect (): Promise<EndpointConnection> { return await new Promise(() => {}) }
+}
+
+function createGroup (): ServiceGroup {
+  return new ServiceGroup({ service: 's', connector: new NoConnector(), clock: new VirtualClock(), logger: createLogger({ process: 'test', level: 'silent' }), readLimits: () => ({ kept: 1, most: 1 }), recordOpened: () => {} })
+}
+
+/** Passes what `from` knows at `sentAtMs` to `to`, whose question was sent at `askedAtMs`. */
+function pass (from: ServiceGroup, to: ServiceGroup, askedAtMs: number, sentAtMs: number): void {
+  const report = createGroupReport(from, sentAtMs)
+  if (report !== undefined) applyGroupReport(to, 'vm', decodeGroupReport(encodeGroupReport(report)), askedAtMs)
+}
+
+describe('reports on groups', () => {
+  it('pass on the primary, its proof and a position', () => {
+    const [one, two] = [createGroup(), createGroup()]
+    updatePrimary(one.state, 'p', 3)
+    recordCommit(one.state, 'p', 1_000, { term: 3, index: 7 }, 1_010)
+    recordAnswer(one.state, 'p', 1_000, { term: 3, index: 7 }, 1_010)
+    pass(one, two, 1_095, 1_100)
+    expect(two.state.primary).to.deep.equal({ endpoint: 'p', term: 3 })
+    expect(isPrimaryFresh(two.state, 0, 1_100)).to.equal(true)
+    expect(findRequiredPosition(two.state, 1_500, 1_200)).to.deep.equal({ term: 3, index: 7 })
+    expect(two.state.acknowledged).to.deep.equal({ term: 3, index: 7 })
+  })
+
+  it('never make a proof younger than it is, however long they travel', () => {
+    const random = createSeededRandom(2)
+    for (let run = 0; run < 1_000; run++) {
+      const [one, two] = [createGroup(), createGroup()]
+      updatePrimary(one.state, 'p', 1)
+      const provenAtMs = 1_000 + random() * 100
+      recordCommit(one.state, 'p', provenAtMs, { term: 1, index: 7 }, provenAtMs + 5)
+      recordAnswer(one.state, 'p', provenAtMs, { term: 1, index: 7 }, provenAtMs + 5)
+      const askedAtMs = provenAtMs + 5 + random() * 300
+      pass(one, two, askedAtMs, askedAtMs + random() * 5_000)
+      expect(two.state.trustEndsMs).to.be.at.most(provenAtMs + LEADER_LEASE_MS)
+      expect(two.state.samples[0]?.atMs ?? 0).to.be.at.most(provenAtMs)
+    }
+  })
+
+  it('do not bring back a primary of an older term', () => {
+    const [one, two] = [createGroup(), createGroup()]
+    updatePrimary(one.state, 'old', 1)
+    recordCommit(one.state, 'old', 1_000, null, 1_010)
+    updatePrimary(two.state, 'new', 2)
+    pass(one, two, 1_020, 1_020)
+    expect(two.state.primary).to.deep.equal({ endpoint: 'new', term: 2 })
+    expect(isPrimaryFresh(two.state, 0, 1_030)).to.equal(false)
+  })
+})
--- a/packages/wire/src/process/logger.ts
+++ b/packages/wire/src/process/logger.ts
@@ -12,16 +12,25 @@
   level?: LogLevel
 }
 
+let output: BoundedOutput | undefined
+
+/** All loggers of a process share its standard output. */
+function openOutput (): BoundedOutput {
+  if (output !== undefined) return output
+  const opened = new BoundedOutput()
+  process.on('exit', () => opened.flushNow())
+  output = opened
+  return opened
+}
+
 /** Creates a logger that writes one JSON object a line to standard output, bounded in volume and never waiting for the reader. */
 export function createLogger (options: LoggerOptions): Logger {
   const { process: name, level = 'info' } = options
-  const output = new BoundedOutput()
-  process.on('exit', () => output.flushNow())
   return winston.createLogger({
     level: level === 'silent' ? 'error' : level,
     silent: level === 'silent',
     defaultMeta: { process: name },
     format: winston.format.combine(limitLines(createLineLimits()), winston.format.timestamp(), winston.format.errors({ stack: true }), winston.format.json()),
-    transports: [new winston.transports.Stream({ stream: output })]
+    transports: [new winston.transports.Stream({ stream: openOutput() })]
   })
 }
