--- /dev/null
+++ b/packages/gateway/src/failover/verify-leadership.test.ts
@@ -0,0 +1,82 @@
+import { createLogger } from '@camphorpitch/wire'
+import { expect } from 'chai'
+import { EndpointConnector, type EndpointConnection, type EndpointStatus } from '../backend/endpoint-connector.ts'
+import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+import { isPrimaryFresh, revokeTrust, updatePrimary } from '../freshness/group-state.ts'
+import { ServiceGroup } from '../groups/service-group.ts'
+import { VirtualClock } from '../testing/virtual-clock.ts'
+import { ControlConnections } from './control-connections.ts'
+import { LeadershipQuestions } from './verify-leadership.ts'
+
+const logger = createLogger({ process: 'test', level: 'silent' })
+
+/** Endpoints that answer what a test says. */
+class FakeConnector extends EndpointConnector {
+  readonly statuses = new Map<string, Partial<EndpointStatus>>()
+
+  override async connect ({ endpoint }: { endpoint: string }): Promise<EndpointConnection> {
+    const readStatus = async (): Promise<EndpointStatus> => ({ role: 'replica', term: 1, received: { term: 1, index: 5 }, pausedForTerm: 0, lagMs: 0, ...this.statuses.get(endpoint) })
+    return { readStatus, subscribeClose: () => {}, close: () => {} } as unknown as EndpointConnection
+  }
+}
+
+function createWorld (startedAtMs = 0): { connector: FakeConnector, clock: VirtualClock, group: ServiceGroup, questions: LeadershipQuestions } {
+  const connector = new FakeConnector()
+  const clock = new VirtualClock()
+  clock.nowMs = 10_000
+  const group = new ServiceGroup({ service: 's', connector, clock, logger, readLimits: () => ({ kept: 1, most: 1 }), recordOpened: () => {} })
+  const entry: EndpointEntry = { endpoint: 'p', service: 's', address: '127.0.0.1:1', failureDomain: 'north', role: 'primary', isDraining: false, slots: 3, warmupLeftMs: 0, startedAtMs }
+  group.updateEntry(entry)
+  for (const endpoint of ['a', 'b']) group.updateEntry({ ...entry, endpoint, role: 'replica' })
+  updatePrimary(group.state, 'p', 1)
+  connector.statuses.set('p', { role: 'primary' })
+  return { connector, clock, group, questions: new LeadershipQuestions({ clock, logger, control: new ControlConnections(connector) }) }
+}
+
+describe('questions about who leads', () => {
+  it('take a replica that follows and is not paused for proof', async () => {
+    const { group, questions, clock, connector } = createWorld()
+    connector.statuses.set('a', { pausedForTerm: 2 })
+    await questions.verifyLeadership(group, 1_000)
+    expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(true)
+  })
+
+  it('take none that is paused or follows another term', async () => {
+    const { group, questions, clock, connector } = createWorld()
+    connector.statuses.set('a', { pausedForTerm: 2 })
+    connector.statuses.set('b', { term: 2 })
+    await questions.verifyLeadership(group, 1_000)
+    expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(false)
+  })
+
+  it('want all replicas where each has just started, as one may have forgotten its pause', async () => {
+    const { group, questions, clock, connector } = createWorld(Date.now())
+    connector.statuses.set('a', { pausedForTerm: 2 })
+    await questions.verifyLeadership(group, 1_000)
+    expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(false)
+    clock.nowMs += 1_000
+    connector.statuses.set('a', {})
+    await questions.verifyLeadership(group, 1_000)
+    expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(true)
+  })
+
+  it('find a new primary, and that there is none', async () => {
+    const { group, questions, clock, connector } = createWorld()
+    connector.statuses.set('p', { role: 'replica' })
+    connector.statuses.set('b', { role: 'primary', term: 2 })
+    await questions.findPrimary(group)
+    expect(group.state.primary).to.deep.equal({ endpoint: 'b', term: 2 })
+    clock.nowMs += 1_000
+    connector.statuses.set('b', { role: 'replica', term: 2 })
+    await questions.findPrimary(group)
+    expect(group.state.primary).to.equal(null)
+  })
+
+  it('do not forget the primary while a change is under way', async () => {
+    const { group, questions, clock, connector } = createWorld()
+    revokeTrust(group.state, 'p', 2, clock.nowMs)
+    connector.statuses.set('p', { role: 'replica' })
+    await questions.findPrimary(group)
+    expect(group.state.primary?.endpoint).to.equal('p')
+  })
+})
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -1,6 +1,6 @@
 import type { Clock, Logger } from '@camphorpitch/wire'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { recordLeadership } from '../freshness/group-state.ts'
+import { isRevoked, recordLeadership } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import type { ControlConnections } from './control-connections.ts'
@@ -42,7 +42,9 @@
       const roles = await Promise.all([...group.pools.values()].map(async p => await this.checkRole(group, p.entry)))
       const isLeader = roles.includes('primary')
       const believed = [...group.pools.keys()].indexOf(group.state.primary?.endpoint ?? '')
-      if (!isLeader && roles[believed] === 'replica') group.resetPrimary()
+      // While a promoter is at work nobody leads for a moment, and its outcome will tell who does.
+      const isChanging = isRevoked(group.state, this.#options.clock.readNow())
+      if (!isLeader && !isChanging && roles[believed] === 'replica') group.resetPrimary()
     })
   }
 
