--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -16,8 +16,10 @@
   clients: addressSchema,
   /** Where the balancer asks whether this VM is ready. */
   readiness: addressSchema,
-  /** First and last of the ports for links between VMs; the last one serves metrics. */
+  /** First and last of the ports for links between VMs. */
   internalPorts: z.tuple([z.number().int(), z.number().int()]),
+  /** Port of `/metrics`; the default is the one of OpenTelemetry's Prometheus exporter. */
+  metricsPort: z.number().int().positive().default(9_464),
   /** Whether the whole system starts for the first time. */
   isFirstStart: z.boolean().default(false),
   store: addressSchema,
