--- a/packages/proxy/src/limits/assignment.ts
+++ b/packages/proxy/src/limits/assignment.ts
@@ -10,6 +10,10 @@
 const MISSED_MS = 2_000
 /** A VM that has just started does not yet know its peers; the first owners are not chosen before all are likely to be known. */
 const SETTLE_MS = 1_000
+/** The first owners wait for so long for VMs on the platform's list that have not joined: a single witness may be lost for good. */
+const FIRST_WAIT_MS = 5_000
+/** The same for a VM that knows no other, as the list lags. */
+const LONE_WAIT_MS = 3_000
 /** The next VM in line writes this much later, so that mostly one does. */
 const RANK_DELAY_MS = 400
 /** Shares move to new members only after no member has come or gone for this long. */
@@ -121,7 +125,16 @@
   const rank = line.findIndex(m => m.vm === state.self.vm)
   const turnMs = (rank < 0 ? line.length : rank) * RANK_DELAY_MS
   const settledMs = (work.isFirst ? state.membersChangedAtMs : state.startedAtMs) + SETTLE_MS
-  return Math.max(state.retryAtMs, settledMs, (state.wantedSinceMs ?? 0) + turnMs)
+  const joinedMs = work.isFirst ? state.startedAtMs + computeJoinWaitMs(state) : -Infinity
+  return Math.max(state.retryAtMs, settledMs, joinedMs, (state.wantedSinceMs ?? 0) + turnMs)
+}
+
+/** How long after its start a VM waits for others before it chooses the first owners. */
+function computeJoinWaitMs ({ listed, members }: OwnershipState): number {
+  const joined = new Set(members.map(m => m.vm))
+  const isMissing = listed === null || [...listed].some(vm => !joined.has(vm))
+  if (isMissing) return FIRST_WAIT_MS
+  return joined.size <= 1 ? LONE_WAIT_MS : 0
 }
 
 function createAssignment (state: OwnershipState, before: LimitOwners, work: Work): LimitOwners {
--- a/packages/proxy/src/limits/ownership.ts
+++ b/packages/proxy/src/limits/ownership.ts
@@ -10,6 +10,8 @@
 const URGENT_ROUND_INTERVAL_MS = 250
 /** After this long without a majority, the platform's list of VMs is asked for. */
 const LIST_INTERVAL_MS = 2_000
+/** The same before there are owners. */
+const FIRST_LIST_INTERVAL_MS = 500
 const READ_RETRY_MS = 500
 /** VMs that are told of a new version directly; the rest learn it from the configuration. */
 const MAX_ANNOUNCED = 32
@@ -167,6 +169,10 @@
     state.isReading = true
     effects.push({ type: 'read-owners' })
   }
+  if (nowMs >= computeFirstListMs(state)) {
+    state.listAtMs = nowMs + FIRST_LIST_INTERVAL_MS
+    effects.push({ type: 'list-vms' })
+  }
   if (nowMs < computeRoundMs(state)) return effects
   const isStuck = state.round !== null && isSealNeeded(state) && nowMs - state.round.sentAtMs >= URGENT_ROUND_INTERVAL_MS
   if (isStuck && nowMs >= state.listAtMs) {
@@ -177,6 +183,11 @@
   return effects
 }
 
+/** Before there are owners, the platform's list says which VMs are still to join; infinite afterwards. */
+function computeFirstListMs ({ owners, listAtMs }: OwnershipState): number {
+  return owners?.version === 0 ? listAtMs : Infinity
+}
+
 /** When the next round is due; infinite for a VM that neither owns nor wants anything. */
 function computeRoundMs (state: OwnershipState): number {
   const isUrgent = isSealNeeded(state) || isLeaseMissing(state)
@@ -193,7 +204,7 @@
 
 export function computeOwnershipWakeMs (state: OwnershipState): number {
   const readMs = state.needsRead && !state.isReading ? state.retryAtMs : Infinity
-  return Math.min(readMs, computeRoundMs(state))
+  return Math.min(readMs, computeFirstListMs(state), computeRoundMs(state))
 }
 
 /** Takes in the object as this process itself read it; `null` while it does not exist. */
