Count a workspace's limit on three VMs in fleets of more than nine

Ruled out: connections (12,000 new ones, but all answers within 420 ms) and slots (6 not run). Now each limit is counted by one VM of each region, which others ask; who finds a part used up asks the next. Without any, a calm workspace goes on as usual.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -15,6 +15,8 @@
 import { createMemberState, type MemberState } from './fleet/members.ts'
 import type { VmEntry } from './fleet/messages.ts'
 import { GroupTable, type GroupTableOptions } from './groups/group-table.ts'
+import { CountingVms } from './limits/counting-vms.ts'
+import { PermitRequests } from './limits/permit-requests.ts'
 import { QuotaRecord } from './limits/quota-record.ts'
 import { QuotaKeeper } from './limits/quota-keeper.ts'
 import type { MetadataStore } from './metadata/metadata-store.ts'
@@ -25,6 +27,7 @@
 import { createGatewayMetrics, type GatewayMetrics } from './telemetry/gateway-metrics.ts'
 
 const SWEEP_INTERVAL_MS = 500
+const MS_PER_SECOND = 1_000
 
 /** The outside of a gateway; each is one implementation of a seam. */
 export interface GatewayOutside {
@@ -60,6 +63,7 @@
   members: MemberState
   groups: GroupTable
   quotas: QuotaKeeper
+  permits: PermitRequests
   quotaRecord: QuotaRecord
   questions: LeadershipQuestions
   network: WsPeerNetwork
@@ -117,7 +121,8 @@
   const recordOpened = (service: string): void => metrics.connectionsOpened.inc({ service })
   const checkRole: GroupTableOptions['checkRole'] = (group, entry) => { questions.checkRole(group, entry).catch((error: unknown) => logger.error('role not checked', { error: String(error) })) }
   const groups = new GroupTable({ connector, clock, logger, configuration, members, recordOpened, checkRole })
-  const quotas = new QuotaKeeper({ settings, clock, configuration, members })
+  const counting = new CountingVms(members)
+  const quotas = new QuotaKeeper({ settings, clock, configuration, members, counting })
   const quotaRecord = new QuotaRecord({ store, clock, logger, members, quotas })
   const network = createNetwork(self, members, logger)
   const messages = new FleetMessages({ clock, logger, self, configuration, directory, groups, quotas, members, quotaRecord })
@@ -126,8 +131,10 @@
   const host = { clock, logger, vm: settings.vm, control, claims, promoter, ...messages.createPromotionCalls() }
   const recordResult = (service: string, result: string): void => metrics.promotions.inc({ service, result })
   const failover = new FailoverWatch({ clock, logger, members, host, listGroups: () => groups.list(), poll: () => fleet.poll(), recordResult })
-  messages.connect(fleet, failover)
-  return { settings, outside, logger, clock, metrics, configuration, directory, members, groups, quotas, quotaRecord, questions, network, fleet, failover }
+  const permits = new PermitRequests({ clock, logger, windowMs: settings.quota.windowS * MS_PER_SECOND, counting, quotas, send: (vm, message) => fleet.send(vm, message) })
+  network.subscribeLoss(vm => permits.handleLoss(vm))
+  messages.connect(fleet, failover, permits)
+  return { settings, outside, logger, clock, metrics, configuration, directory, members, groups, quotas, permits, quotaRecord, questions, network, fleet, failover }
 }
 
 function createNetwork (self: VmEntry, members: MemberState, logger: Logger): WsPeerNetwork {
--- a/packages/gateway/src/fleet/fleet-messages.ts
+++ b/packages/gateway/src/fleet/fleet-messages.ts
@@ -7,10 +7,11 @@
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { QuotaRecord } from '../limits/quota-record.ts'
+import type { PermitRequests } from '../limits/permit-requests.ts'
 import type { QuotaKeeper } from '../limits/quota-keeper.ts'
 import type { Fleet, FleetOptions, Poll } from './fleet.ts'
 import { applyGroupReport, createGroupReport } from './group-reports.ts'
-import { listPossible, type MemberState } from './members.ts'
+import { listAnswering, listPossible, type MemberState } from './members.ts'
 import { decodeGroupReport, encodeGroupReport, type FleetMessage, type Report, type VmEntry } from './messages.ts'
 import { RevocationCollector } from './revocations.ts'
 
@@ -37,15 +38,17 @@
   readonly #revocations = new RevocationCollector()
   #fleet: Fleet | undefined
   #failover: FailoverWatch | undefined
+  #permits: PermitRequests | undefined
   #attempts = 0
 
   constructor (options: FleetMessagesOptions) {
     this.#options = options
   }
 
-  connect (fleet: Fleet, failover: FailoverWatch): void {
+  connect (fleet: Fleet, failover: FailoverWatch, permits: PermitRequests): void {
     this.#fleet = fleet
     this.#failover = failover
+    this.#permits = permits
   }
 
   createHandlers (): Pick<FleetOptions, 'createReport' | 'createPoll' | 'applyReport' | 'handleMessage' | 'handleRound' | 'removeVm'> {
@@ -75,11 +78,11 @@
 
   #createPoll (sequence: number): Poll {
     const { self, configuration, directory } = this.#options
-    return { type: 'poll', sequence, vm: sequence <= INTRODUCTIONS ? self : undefined, configurationVersion: configuration.version, endpointsAsOf: directory.asOf }
+    return { type: 'poll', sequence, vm: sequence <= INTRODUCTIONS ? self : undefined, vmsKnown: this.#options.members.members.size + 1, configurationVersion: configuration.version, endpointsAsOf: directory.asOf }
   }
 
   #createReport (poll: Poll): Report {
-    const { clock, configuration, directory, groups, quotas } = this.#options
+    const { clock, configuration, directory, groups, quotas, members } = this.#options
     const nowMs = clock.readNow()
     const report: Report = {
       type: 'report',
@@ -88,6 +91,8 @@
       demand: quotas.listDemand(),
       endpointsAsOf: directory.asOf
     }
+    const answering = listAnswering(members, nowMs)
+    if (members.isListed && answering.length + 1 > poll.vmsKnown) report.vms = answering.map(m => m.entry)
     if (configuration.current !== null && configuration.version > poll.configurationVersion) report.configuration = configuration.current
     return report
   }
@@ -105,6 +110,8 @@
   #handleMessage (vm: string, message: FleetMessage): void {
     if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, message.acknowledged)
     else if (message.type === 'promoted') this.#handleOutcome(vm, message)
+    else if (message.type === 'permit') this.#fleet?.send(vm, this.#options.quotas.answerPermit(message))
+    else if (message.type === 'permitted') this.#permits?.handleAnswer(vm, message)
     else if (message.type === 'revoke') {
       this.#handleRevoke(vm, message).catch((error: unknown) => this.#options.logger.error('revocation failed', { error: String(error) }))
     }
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -13,6 +13,8 @@
 const FIRST_POLLS = 8
 /** VMs seldom come and go, and polls tell of new ones as well; in milliseconds. */
 const VMS_WATCH_MS = 15_000
+/** Pause between two watches, in milliseconds: a fleet that starts together changes with every VM. */
+const VMS_WATCH_PAUSE_MS = 1_500
 const REGISTER_RETRY_MS = 700
 /** Time for the farewell to leave the process, in milliseconds. */
 const FAREWELL_MS = 30
@@ -65,7 +67,11 @@
       logger,
       kind: 'vms',
       waitMs: VMS_WATCH_MS,
-      applyListing: ({ items }) => { for (const item of items) this.#addEntry(item.value) },
+      pauseMs: VMS_WATCH_PAUSE_MS,
+      applyListing: ({ items }) => {
+        this.#options.state.isListed = true
+        for (const item of items) this.#addEntry(item.value)
+      },
       applyChanges: changes => {
         for (const { object, isRemoved } of changes) {
           if (isRemoved) removeMember(this.#options.state, object.name)
@@ -150,6 +156,8 @@
     const member = state.members.get(vm)
     if (member !== undefined && !isHeard(member, clock.readNow())) logger.info('vm heard', { vm })
     recordReport(state, vm, askedAtMs)
+    for (const entry of report.vms ?? []) this.#addEntry(entry)
+    if (report.vms !== undefined) state.isListed = true
     applyReport(vm, report, askedAtMs)
   }
 
--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -22,10 +22,14 @@
   members: Map<string, Member>
   /** Start of each VM that has told that it ends; what is still heard of that start is out of date. */
   left: Map<string, number>
+  /** Raised with each change of who is a member. */
+  changes: number
+  /** Whether the store, or a VM that had read it, told who the members are. */
+  isListed: boolean
 }
 
 export function createMemberState (self: VmEntry): MemberState {
-  return { self, members: new Map(), left: new Map() }
+  return { self, members: new Map(), left: new Map(), changes: 0, isListed: false }
 }
 
 /**
@@ -38,11 +42,12 @@
   const known = state.members.get(entry.vm)
   if (known !== undefined && known.entry.incarnation >= entry.incarnation) return false
   state.members.set(entry.vm, { entry, knownSinceMs: nowMs, heardAtMs: -Infinity })
+  state.changes++
   return true
 }
 
 export function removeMember (state: MemberState, vm: string): void {
-  state.members.delete(vm)
+  if (state.members.delete(vm)) state.changes++
 }
 
 /** Takes in that a VM has ended by itself. */
@@ -50,7 +55,7 @@
   const known = state.members.get(vm)
   if (known !== undefined && known.entry.incarnation > incarnation) return
   state.left.set(vm, incarnation)
-  state.members.delete(vm)
+  removeMember(state, vm)
 }
 
 export function recordReport (state: MemberState, vm: string, pollSentAtMs: number): void {
@@ -72,6 +77,11 @@
   return [...state.members.values()].filter(m => nowMs - Math.max(m.heardAtMs, m.knownSinceMs) < FORGET_AFTER_MS / 3)
 }
 
+/** VMs that have answered not long ago. Only these are told to others, so that none that is gone comes back by hearsay. */
+export function listAnswering (state: MemberState, nowMs: number): Member[] {
+  return [...state.members.values()].filter(m => nowMs - m.heardAtMs < FORGET_AFTER_MS / 3)
+}
+
 /** VMs to poll in a round: all of a small fleet, a part that moves on with each round of a large one. */
 export function listPolled (state: MemberState, round: number): Member[] {
   const all = [...state.members.values()].sort((a, b) => a.entry.vm < b.entry.vm ? -1 : 1)
--- a/packages/gateway/src/fleet/messages.ts
+++ b/packages/gateway/src/fleet/messages.ts
@@ -62,6 +62,8 @@
   sequence: z.number().int(),
   /** The sender, for a VM that may not know it yet. */
   vm: vmEntrySchema.optional(),
+  /** VMs that the sender knows, itself included. */
+  vmsKnown: z.number().int(),
   configurationVersion: z.number().int(),
   /** Revision up to which the sender knows the endpoints. */
   endpointsAsOf: z.number()
@@ -75,6 +77,8 @@
   demand: z.array(z.tuple([z.string(), z.number()])),
   /** The configuration, where it is newer than the asker's. */
   configuration: configurationSchema.optional(),
+  /** All VMs, where the asker knows fewer. */
+  vms: z.array(vmEntrySchema).optional(),
   endpointsAsOf: z.number(),
   /** The endpoints, where the asker knows an older state. */
   endpoints: z.array(endpointEntrySchema).optional()
@@ -107,8 +111,28 @@
   term: z.number().int()
 })
 
+/** Asks a VM that counts a workspace's limit to admit one operation. */
+export const permitSchema = z.object({
+  type: z.literal('permit'),
+  request: z.number().int(),
+  workspace: z.string(),
+  /** Whether another VM has refused the operation before. */
+  isRepeated: z.boolean()
+})
+export type Permit = z.infer<typeof permitSchema>
+export const permittedSchema = z.object({
+  type: z.literal('permitted'),
+  request: z.number().int(),
+  result: z.enum(['admitted', 'refused', 'notCounted']),
+  /** When one is likely to be admitted, in milliseconds. */
+  retryAfterMs: z.number().optional(),
+  /** Whether the workspace asks for well below its limit. */
+  isCalm: z.boolean()
+})
+export type Permitted = z.infer<typeof permittedSchema>
+
 /** A VM ends after it has served its last client. */
 export const leftSchema = z.object({ type: z.literal('left'), incarnation: z.number() })
 
-export const fleetMessageSchema = z.discriminatedUnion('type', [leftSchema, pollSchema, reportSchema, revokeSchema, revokedSchema, promotedSchema])
+export const fleetMessageSchema = z.discriminatedUnion('type', [leftSchema, pollSchema, reportSchema, revokeSchema, revokedSchema, promotedSchema, permitSchema, permittedSchema])
 export type FleetMessage = z.infer<typeof fleetMessageSchema>
--- a/packages/gateway/src/limits/demand-shares.ts
+++ b/packages/gateway/src/limits/demand-shares.ts
@@ -1,3 +1,4 @@
+import { COUNTING_VMS } from './counting-vms.ts'
 import { computeQuotaShare, type Demand, type FleetDemand } from './quota.ts'
 
 /** A report of a VM counts for this long after it was last heard, in milliseconds. */
@@ -63,11 +64,24 @@
 
 /** Describes the demand on the whole fleet of `vms` VMs. */
 export function createFleetDemand (shares: DemandShares, vms: number, isComplete: boolean): FleetDemand {
-  const readTotal = (workspace: string): number => {
-    let total = shares.told.get(workspace) ?? 0
-    for (const { demand } of shares.others.values()) total += demand.get(workspace) ?? 0
-    return total
-  }
+  const readTotal = (workspace: string): number => readTotalDemand(shares, workspace)
   const readShare = (workspace: string): number => computeQuotaShare({ own: shares.told.get(workspace) ?? 0, total: readTotal(workspace), vms })
-  return { vms, isComplete, readShare, readTotal }
+  return { vms, isComplete, isCountedByFew: false, readShare, readTotal }
+}
+
+/** Describes the demand on a fleet in which few VMs count each limit, in equal parts: who finds one used up asks the next. */
+export function createFewDemand (shares: DemandShares, isCounting: (workspace: string) => boolean): FleetDemand {
+  return {
+    vms: COUNTING_VMS,
+    isComplete: false,
+    isCountedByFew: true,
+    readShare: workspace => isCounting(workspace) ? 1 / COUNTING_VMS : 0,
+    readTotal: workspace => readTotalDemand(shares, workspace)
+  }
+}
+
+function readTotalDemand (shares: DemandShares, workspace: string): number {
+  let total = shares.told.get(workspace) ?? 0
+  for (const { demand } of shares.others.values()) total += demand.get(workspace) ?? 0
+  return total
 }
--- /dev/null
+++ b/packages/gateway/src/limits/permit-requests.test.ts
@@ -0,0 +1,186 @@
+import { createLogger, createSeededRandom } from '@camphorpitch/wire'
+import { expect } from 'chai'
+import { ConfigurationHolder } from '../configuration/configuration-holder.ts'
+import type { Workspace } from '../configuration/configuration.ts'
+import { addMember, createMemberState, removeMember } from '../fleet/members.ts'
+import type { VmEntry } from '../fleet/messages.ts'
+import { gatewaySettingsSchema } from '../settings.ts'
+import { VirtualClock } from '../testing/virtual-clock.ts'
+import { COUNTING_VMS, CountingVms, pickCountingVms } from './counting-vms.ts'
+import { PermitRequests } from './permit-requests.ts'
+import { QuotaKeeper } from './quota-keeper.ts'
+
+const logger = createLogger({ process: 'test', level: 'silent' })
+const REGIONS = ['east', 'west', 'north']
+const ROUND_MS = 500
+const STEP_MS = 10
+
+function createEntry (index: number): VmEntry {
+  const region = REGIONS[index % REGIONS.length]!
+  return { vm: `vm-${index}`, host: '10.0.0.1', port: 7_500, failureDomain: `${region}-${index % 2}`, region, incarnation: 1 }
+}
+
+interface FakeVm { quotas: QuotaKeeper, permits: PermitRequests, members: ReturnType<typeof createMemberState> }
+
+/** A fleet whose VMs ask each other over links that may be cut. */
+class FakeFleet {
+  readonly clock = new VirtualClock()
+  readonly vms = new Map<string, FakeVm>()
+  readonly cut = new Set<string>()
+  messages = 0
+
+  constructor (size: number, workspaces: Workspace[]) {
+    const entries = Array.from({ length: size }, (_, i) => createEntry(i))
+    for (const self of entries) this.vms.set(self.vm, this.#createVm(self, entries, workspaces))
+    this.update()
+  }
+
+  #createVm (self: VmEntry, entries: VmEntry[], workspaces: Workspace[]): FakeVm {
+    const { clock } = this
+    const members = createMemberState(self)
+    members.isListed = true
+    for (const entry of entries) addMember(members, entry, 0)
+    const configuration = new ConfigurationHolder(logger)
+    configuration.apply({ version: 1, routes: [], services: [], workspaces, transactionIdleMs: 3_000 }, 'test')
+    const settings = gatewaySettingsSchema.parse({ vm: self.vm, failureDomain: self.failureDomain, host: '10.0.0.1', clients: '10.0.0.1:1', readiness: '10.0.0.1:2', internalPorts: [1, 2], isFirstStart: true, store: '10.0.0.1:3', promoter: '10.0.0.1:4' })
+    const counting = new CountingVms(members)
+    const quotas = new QuotaKeeper({ settings, clock, configuration, members, counting })
+    const permits = new PermitRequests({
+      clock,
+      logger,
+      windowMs: 5_000,
+      counting,
+      quotas,
+      send: (vm, message) => {
+        this.messages++
+        const other = this.vms.get(vm)
+        if (message.type !== 'permit' || other === undefined || this.cut.has(vm) || this.cut.has(self.vm)) return permits.handleLoss(vm)
+        permits.handleAnswer(vm, other.quotas.answerPermit(message))
+      }
+    })
+    return { quotas, permits, members }
+  }
+
+  update (): void {
+    for (const { quotas } of this.vms.values()) quotas.update()
+    for (const [vm, one] of this.vms) for (const [name, other] of this.vms) if (vm !== name) one.quotas.recordVmDemand(name, other.quotas.listDemand())
+  }
+}
+
+interface Load { size: number, workspaces: Workspace[], rateOf: (workspace: Workspace, nowMs: number) => number, lengthMs: number, seed: number, handleStep?: (fleet: FakeFleet, nowMs: number) => void }
+
+async function playLoad ({ size, workspaces, rateOf, lengthMs, seed, handleStep }: Load): Promise<{ admitted: Map<string, number[]>, asked: number, messages: number, fleet: FakeFleet }> {
+  const random = createSeededRandom(seed)
+  const fleet = new FakeFleet(size, workspaces)
+  const names = [...fleet.vms.keys()]
+  const admitted = new Map<string, number[]>(workspaces.map(w => [w.name, []]))
+  let asked = 0
+  for (let nowMs = STEP_MS; nowMs < lengthMs; nowMs += STEP_MS) {
+    fleet.clock.nowMs = nowMs
+    handleStep?.(fleet, nowMs)
+    if (nowMs % ROUND_MS === 0) fleet.update()
+    for (const workspace of workspaces) {
+      if (random() >= rateOf(workspace, nowMs) * STEP_MS / 1_000) continue
+      asked++
+      const vm = fleet.vms.get(names[Math.floor(random() * names.length)]!)!
+      const verdict = vm.quotas.isCountedByFew(workspace.name) ? await vm.permits.request(workspace.name) : vm.quotas.admit(workspace.name)
+      if (verdict.isAdmitted) admitted.get(workspace.name)!.push(nowMs)
+    }
+  }
+  return { admitted, asked, messages: fleet.messages, fleet }
+}
+
+function findBusiestWindow (admitted: readonly number[]): number {
+  let most = 0
+  for (let start = 0, end = 0; end < admitted.length; end++) {
+    while (admitted[end]! - admitted[start]! > 5_000) start++
+    most = Math.max(most, end - start + 1)
+  }
+  return most
+}
+
+function countAll (admitted: Map<string, number[]>): number {
+  return [...admitted.values()].reduce((sum, times) => sum + times.length, 0)
+}
+
+const workspaces: Workspace[] = Array.from({ length: 12 }, (_, i) => ({ name: `w${i}`, keys: [], ratePerSecond: 8 + i, burst: 8 }))
+const MOST_IN_WINDOW = (w: Workspace): number => (w.ratePerSecond! * 5 + w.burst!) * 1.1 + 20
+
+describe('limits of a large fleet', () => {
+  it('are counted on one VM of each region, the same for everyone', () => {
+    const entries = Array.from({ length: 71 }, (_, i) => createEntry(i))
+    for (const { name } of workspaces) {
+      const picked = pickCountingVms(entries, name)
+      expect(picked.map(p => p.region).sort()).to.deep.equal([...REGIONS].sort())
+      expect(pickCountingVms([...entries].reverse(), name)).to.deep.equal(picked)
+    }
+  })
+
+  it('are counted on different failure domains of a single region', () => {
+    const entries = Array.from({ length: 30 }, (_, i) => ({ ...createEntry(i), region: 'one', failureDomain: `d${i % 5}` }))
+    const picked = pickCountingVms(entries, 'w')
+    expect(new Set(picked.map(p => p.failureDomain)).size).to.equal(COUNTING_VMS)
+  })
+
+  it('move from few VMs only when one of them goes', () => {
+    const entries = Array.from({ length: 71 }, (_, i) => createEntry(i))
+    const [first, ...others] = pickCountingVms(entries, 'w0')
+    const after = pickCountingVms(entries.filter(e => e !== first), 'w0')
+    expect(after).to.include.members(others)
+  })
+
+  it('refuse next to nothing of workspaces within their rate, where each VM sees few of their operations', async () => {
+    const { admitted, asked, messages } = await playLoad({ size: 71, workspaces, rateOf: w => w.ratePerSecond! * 0.6, lengthMs: 20_000, seed: 3 })
+    expect(countAll(admitted) / asked).to.be.greaterThan(0.995)
+    expect(messages / asked).to.be.lessThan(1.2)
+  })
+
+  it('hold in every window when a workspace asks for 7.5 times its usual, and harm no other', async () => {
+    for (let seed = 1; seed <= 5; seed++) {
+      const { admitted, messages, asked } = await playLoad({ size: 71, workspaces, rateOf: (w, nowMs) => w.ratePerSecond! * (w.name === 'w0' && nowMs > 4_000 ? 4.5 : 0.6), lengthMs: 15_000, seed })
+      for (const w of workspaces) expect(findBusiestWindow(admitted.get(w.name)!), `${w.name}, seed ${seed}`).to.be.at.most(MOST_IN_WINDOW(w))
+      expect(messages / asked).to.be.lessThan(3)
+    }
+  })
+
+  it('hold when counting VMs leave and come back under such load', async () => {
+    for (let seed = 1; seed <= 5; seed++) {
+      const { admitted } = await playLoad({
+        size: 71,
+        workspaces,
+        rateOf: w => w.ratePerSecond! * (w.name === 'w0' ? 4.5 : 0.6),
+        lengthMs: 20_000,
+        seed,
+        handleStep: (fleet, nowMs) => {
+          if (nowMs % 2_000 !== 0) return
+          const [gone] = pickCountingVms([...fleet.vms.values()].map(v => v.members.self), 'w0')
+          for (const { members } of fleet.vms.values()) {
+            if (nowMs % 4_000 === 0) addMember(members, { ...gone!, incarnation: nowMs }, nowMs)
+            else removeMember(members, gone!.vm)
+          }
+        }
+      })
+      for (const w of workspaces) expect(findBusiestWindow(admitted.get(w.name)!), `${w.name}, seed ${seed}`).to.be.at.most(MOST_IN_WINDOW(w))
+    }
+  })
+
+  it('let a VM that reaches no counting VM go on with calm workspaces, and only as it was used to', async () => {
+    const cutAtMs = 8_000
+    const isCut = (nowMs: number): boolean => nowMs >= cutAtMs
+    const handleStep = (fleet: FakeFleet, nowMs: number): void => {
+      if (nowMs === cutAtMs) for (const vm of [...fleet.vms.keys()].slice(0, 12)) fleet.cut.add(vm)
+    }
+    const calm = await playLoad({ size: 71, workspaces, rateOf: w => w.ratePerSecond! * 0.6, lengthMs: 16_000, seed: 7, handleStep })
+    expect(countAll(calm.admitted) / calm.asked).to.be.greaterThan(0.93)
+    const hot = await playLoad({ size: 71, workspaces, rateOf: (w, nowMs) => w.ratePerSecond! * (w.name === 'w0' && isCut(nowMs) ? 4.5 : 0.6), lengthMs: 16_000, seed: 7, handleStep })
+    for (const w of workspaces) expect(findBusiestWindow(hot.admitted.get(w.name)!), w.name).to.be.at.most(MOST_IN_WINDOW(w))
+  })
+
+  it('refuse a workspace that is not known to be calm while nobody counts it, and say when to come back', async () => {
+    const fleet = new FakeFleet(71, workspaces)
+    for (const vm of fleet.vms.keys()) fleet.cut.add(vm)
+    const outsider = [...fleet.vms.values()].find(v => !pickCountingVms([...fleet.vms.values()].map(o => o.members.self), 'w0').some(e => e.vm === v.quotas.vm))!
+    const verdict = await outsider.permits.request('w0')
+    expect(verdict).to.deep.equal({ isAdmitted: false, retryAfterMs: 500 })
+  })
+})
--- a/packages/gateway/src/limits/quota-keeper.ts
+++ b/packages/gateway/src/limits/quota-keeper.ts
@@ -2,7 +2,9 @@
 import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
 import { isHeard, type MemberState } from '../fleet/members.ts'
 import type { GatewaySettings } from '../settings.ts'
-import { estimateDemand, createDemandShares, createFleetDemand, recordVmDemand, sweepDemand, updateOwnDemand } from './demand-shares.ts'
+import type { Permit, Permitted } from '../fleet/messages.ts'
+import { MOST_COUNTING_ALL, type CountingVms } from './counting-vms.ts'
+import { estimateDemand, createDemandShares, createFewDemand, createFleetDemand, recordVmDemand, sweepDemand, updateOwnDemand } from './demand-shares.ts'
 import { createDemandWindow, recordDemand, sumDemand } from './demand-window.ts'
 import { admitOperation, applyPressedBefore, createQuotaState, updateQuotas, type QuotaVerdict } from './quota.ts'
 
@@ -13,6 +15,7 @@
   clock: Clock
   configuration: ConfigurationHolder
   members: MemberState
+  counting: CountingVms
 }
 
 /** Counts operations against this VM's parts of the workspaces' limits. */
@@ -30,12 +33,36 @@
     this.#window = createDemandWindow(windowMs)
   }
 
+  get vm (): string {
+    return this.#options.settings.vm
+  }
+
+  /** Whether a workspace has a limit that few VMs count. */
+  isCountedByFew (workspace: string): boolean {
+    return this.#options.counting.areFew && this.#isLimited(workspace)
+  }
+
+  #isLimited (workspace: string): boolean {
+    return this.#options.configuration.current?.workspaces.find(w => w.name === workspace)?.ratePerSecond !== undefined
+  }
+
   admit (workspace: string): QuotaVerdict {
     const nowMs = this.#options.clock.readNow()
     recordDemand(this.#window, workspace, nowMs)
     return admitOperation(this.#state, workspace, nowMs)
   }
 
+  /** Admits an operation of another VM's client, or of one of its own, if this VM counts the limit. */
+  answerPermit ({ request, workspace, isRepeated }: Permit): Permitted {
+    const { counting, clock } = this.#options
+    const nowMs = clock.readNow()
+    const isCalm = !this.#state.pressed.has(workspace)
+    if (!this.#state.buckets.has(workspace) || !counting.isCounting(workspace)) return { type: 'permitted', request, result: 'notCounted', isCalm }
+    if (!isRepeated) recordDemand(this.#window, workspace, nowMs)
+    const verdict = admitOperation(this.#state, workspace, nowMs)
+    return verdict.isAdmitted ? { type: 'permitted', request, result: 'admitted', isCalm } : { type: 'permitted', request, result: 'refused', retryAfterMs: verdict.retryAfterMs, isCalm }
+  }
+
   /** What this VM was asked for, as it tells the others. */
   listDemand (): Array<[string, number]> {
     return [...this.#shares.own]
@@ -52,15 +79,19 @@
 
   /** Takes in the demand of the last window, and the limits as they stand. */
   update (): void {
-    const { clock, members, configuration } = this.#options
+    const { clock, members, configuration, counting } = this.#options
     const nowMs = clock.readNow()
     const all = [...members.members.values()]
     const isComplete = all.every(m => isHeard(m, nowMs))
     const { isFirstStart, startedAtMs, tolerance } = this.#state
     const missing = isFirstStart ? 0 : 1 - (nowMs - startedAtMs) / tolerance.windowMs
-    updateOwnDemand(this.#shares, estimateDemand(this.#shares, sumDemand(this.#window, nowMs), missing), isComplete || missing > 0)
+    const isHeardByAll = isComplete || missing > 0 || counting.areFew
+    updateOwnDemand(this.#shares, estimateDemand(this.#shares, sumDemand(this.#window, nowMs), missing), isHeardByAll)
     sweepDemand(this.#shares, nowMs)
-    updateQuotas(this.#state, configuration.current?.workspaces ?? [], createFleetDemand(this.#shares, all.length + 1, isComplete), nowMs)
+    // Others may run that this VM has not heard of, until somebody who knows has told it.
+    const vms = members.isListed || isFirstStart ? all.length + 1 : Math.max(all.length + 1, MOST_COUNTING_ALL)
+    const fleet = counting.areFew ? createFewDemand(this.#shares, workspace => counting.isCounting(workspace)) : createFleetDemand(this.#shares, vms, isComplete)
+    updateQuotas(this.#state, configuration.current?.workspaces ?? [], fleet, nowMs)
   }
 
   /** Whether this VM has counted for a whole window since its start. */
--- a/packages/gateway/src/limits/quota.test.ts
+++ b/packages/gateway/src/limits/quota.test.ts
@@ -84,7 +84,7 @@
   })
 }
 
-const alone: FleetDemand = { vms: 1, isComplete: true, readShare: () => 1, readTotal: () => Infinity }
+const alone: FleetDemand = { vms: 1, isComplete: true, isCountedByFew: false, readShare: () => 1, readTotal: () => Infinity }
 
 function findBusiestWindow (admitted: readonly number[]): number {
   let most = 0
--- a/packages/gateway/src/limits/quota.ts
+++ b/packages/gateway/src/limits/quota.ts
@@ -31,7 +31,9 @@
   vms: number
   /** Whether every VM was heard lately. */
   isComplete: boolean
-  /** This VM's part of a workspace's limit. */
+  /** Whether a few VMs count each limit, which others may take over from them. */
+  isCountedByFew: boolean
+  /** This VM's part of a workspace's limit; 0 where it counts nothing. */
   readShare: (workspace: string) => number
   /** Operations of a workspace that all VMs were asked for in the last window. */
   readTotal: (workspace: string) => number
@@ -101,14 +103,23 @@
   const rate = Math.max(MIN_RATE, ratePerSecond * share / MS_PER_SECOND)
   const ownBurst = ratePerSecond + burst === 0 ? 0 : Math.max(1, burst * share + SPREAD_PART * excess / fleet.vms)
   const bucket = state.buckets.get(name)
-  if (bucket !== undefined) replaceRate(bucket, rate, ownBurst, nowMs)
+  if (share === 0) state.buckets.delete(name)
+  else if (bucket !== undefined) replaceRate(bucket, rate, ownBurst, nowMs)
   else {
-    const level = isUseUnknown(state, name, nowMs) ? Math.min(ownBurst, RESTART_PART * excess * share) : state.isFirstStart ? ownBurst : Math.min(ownBurst, REMEMBERED_PART * burst * share)
+    const level = Math.min(ownBurst, computeFirstLevel(state, name, { ownBurst, cautious: RESTART_PART * excess * share, calm: REMEMBERED_PART * burst * share }, fleet, nowMs))
     state.buckets.set(name, createBucket(rate, ownBurst, nowMs - level / rate))
   }
   updateLent(state, name, { rateInWindow, lendable: LENT_PART * (rateInWindow + burst + slack) / fleet.vms }, fleet, nowMs)
 }
 
+/** Operations that a new bucket holds, by what may have been used of the limit before. */
+function computeFirstLevel (state: QuotaState, name: string, levels: { ownBurst: number, cautious: number, calm: number }, fleet: FleetDemand, nowMs: number): number {
+  const isSettled = nowMs - state.startedAtMs >= state.tolerance.windowMs
+  if (fleet.isCountedByFew && isSettled) return state.pressed.has(name) ? levels.cautious : levels.calm
+  if (isUseUnknown(state, name, nowMs)) return levels.cautious
+  return state.isFirstStart ? levels.ownBurst : levels.calm
+}
+
 /** While all VMs together are asked for well below the limit, one may go beyond its part a little. */
 function updateLent (state: QuotaState, name: string, { rateInWindow, lendable }: { rateInWindow: number, lendable: number }, fleet: FleetDemand, nowMs: number): void {
   const isCalm = fleet.readTotal(name) < CALM_PART * rateInWindow
--- a/packages/gateway/src/metadata/watch-kind.ts
+++ b/packages/gateway/src/metadata/watch-kind.ts
@@ -14,6 +14,8 @@
   logger: Logger
   kind: K
   waitMs?: number
+  /** Pause after each watch, for changes that may come together, in milliseconds. */
+  pauseMs?: number
   applyListing: (listing: Listing<ObjectKinds[K]>) => void
   applyChanges: (changes: Array<Change<ObjectKinds[K]>>, asOf: number) => void
   /** The store answers again; called before what it answered is applied. */
@@ -84,6 +86,7 @@
     this.#recordSuccess()
     applyChanges(answer.changes, answer.asOf)
     this.#since = answer.asOf
+    if (this.#options.pauseMs !== undefined) await waitFor(this.#options.pauseMs)
   }
 
   #recordSuccess (): void {
--- a/packages/gateway/src/sessions/client-session.test.ts
+++ b/packages/gateway/src/sessions/client-session.test.ts
@@ -32,7 +32,7 @@
     waitForConfiguration: async () => configuration,
     readConfiguration: () => configuration,
     readTransactionIdleMs: () => 3_000,
-    admitOperation: (): AnswerError | null => null,
+    admitOperation: async (): Promise<AnswerError | null> => null,
     runRead: run,
     runWrite: run,
     openTransaction: async () => ({ refusal: { code: 'busy', text: '' } }),
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -143,14 +143,15 @@
   }
 
   async #run (statement: ClientStatement): Promise<void> {
-    const refusal = this.#state.transaction === 'idle' ? this.#admitOperation(statement) : null
+    const refusal = this.#state.transaction === 'idle' ? await this.#admitOperation(statement) : null
+    if (this.#isClosed) return
     if (refusal !== null) return this.#answer({ error: refusal, state: 'idle' })
     const plan = decideStatement(this.#state, statement)
     await this.#runPlan(statement, plan)
   }
 
   /** Checks key, route and quota where an operation begins. */
-  #admitOperation (statement: ClientStatement): AnswerError | null {
+  async #admitOperation (statement: ClientStatement): Promise<AnswerError | null> {
     const configuration = this.#host.readConfiguration()
     if (configuration === null) return { code: 'busy', text: 'no configuration yet; retry after 1000 ms' }
     const admission = authenticate(configuration, this.#database, this.#key)
@@ -161,7 +162,7 @@
     }
     this.#route = admission.route
     const isOperation = ['begin', 'read', 'write', 'execute'].includes(statement.type)
-    return isOperation ? this.#host.admitOperation(statement.id, admission.workspace) : null
+    return isOperation ? await this.#host.admitOperation(statement.id, admission.workspace) : null
   }
 
   async #runPlan (statement: ClientStatement, plan: StatementPlan): Promise<void> {
--- a/packages/gateway/src/sessions/gateway-session-host.ts
+++ b/packages/gateway/src/sessions/gateway-session-host.ts
@@ -6,6 +6,7 @@
 import type { LeadershipQuestions } from '../failover/verify-leadership.ts'
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
+import type { PermitRequests } from '../limits/permit-requests.ts'
 import type { QuotaKeeper } from '../limits/quota-keeper.ts'
 import type { GatewaySettings } from '../settings.ts'
 import { createRetryRefusal, type Operation, type Outcome } from '../statements/operation.ts'
@@ -32,6 +33,7 @@
   configuration: ConfigurationHolder
   groups: GroupTable
   quotas: QuotaKeeper
+  permits: PermitRequests
   questions: LeadershipQuestions
   failover: FailoverWatch
   removeSession: (session: ClientSession) => void
@@ -57,9 +59,9 @@
 
   readTransactionIdleMs = (): number => this.#options.configuration.current?.transactionIdleMs ?? DEFAULT_TRANSACTION_IDLE_MS
 
-  admitOperation = (id: string, workspace: string): AnswerError | null => {
-    const { quotas, metrics } = this.#options
-    const verdict = quotas.admit(workspace)
+  admitOperation = async (id: string, workspace: string): Promise<AnswerError | null> => {
+    const { quotas, permits, metrics } = this.#options
+    const verdict = quotas.isCountedByFew(workspace) ? await permits.request(workspace) : quotas.admit(workspace)
     if (verdict.isAdmitted) return null
     metrics.quotaRefusals.inc({ workspace })
     const { refusal } = createRetryRefusal('tooMany', 'over the workspace\'s rate', verdict.retryAfterMs)
--- a/packages/gateway/src/sessions/session-host.ts
+++ b/packages/gateway/src/sessions/session-host.ts
@@ -14,7 +14,7 @@
   readConfiguration: () => Configuration | null
   readTransactionIdleMs: () => number
   /** Counts an operation against its workspace's quota. @returns why it is refused, or `null` */
-  admitOperation: (id: string, workspace: string) => AnswerError | null
+  admitOperation: (id: string, workspace: string) => Promise<AnswerError | null>
   runRead: (operation: Operation) => Promise<Outcome>
   runWrite: (operation: Operation) => Promise<Outcome>
   openTransaction: (operation: Operation, isReadOnly: boolean) => Promise<OpenedTransaction>
