Hear VMs of a large fleet between polls, and poll mostly within the region

Cause: a VM counted as heard for 2 s after its last answer, and is polled every 4.7 s in a fleet of 71. So about 28 of 70 counted as heard: shares of connections were made for 28 VMs, several VMs held themselves for the first in rank (two wrote the record of pressed workspaces against each other: 20 writes and 15 reads after conflicts in 30 s). Two thirds of the polls went to other regions. Now a VM is unheard once it has left a poll unanswered for 1.5 s, which is the same for small fleets; 6 of 8 polls stay in the region; watches of endpoints pause.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -26,6 +26,8 @@
 import type { GatewaySettings } from './settings.ts'
 import { createGatewayMetrics, type GatewayMetrics } from './telemetry/gateway-metrics.ts'
 
+/** Pause between two watches of the endpoints, in milliseconds: those of a group come and go together, and every VM is told of each. */
+const ENDPOINTS_PAUSE_MS = 250
 const SWEEP_INTERVAL_MS = 500
 const MS_PER_SECOND = 1_000
 
@@ -150,6 +152,7 @@
     logger,
     kind: 'endpoints',
     handleRegained,
+    pauseMs: ENDPOINTS_PAUSE_MS,
     applyListing: listing => groups.applyChanges(applyListing(directory, listing, clock.readNow())),
     applyChanges: (changes, asOf) => groups.applyChanges(applyChanges(directory, changes, asOf, clock.readNow()))
   })
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -2,7 +2,7 @@
 import type { z } from 'zod'
 import { RevisionConflictError, type MetadataStore } from '../metadata/metadata-store.ts'
 import { watchKind, type KindWatch } from '../metadata/watch-kind.ts'
-import { addMember, FORGET_AFTER_MS, isHeard, listPolled, listPossible, recordLeft, recordReport, removeMember, type MemberState } from './members.ts'
+import { addMember, FORGET_AFTER_MS, isHeard, listPolled, measureMemberSilence, recordLeft, recordPoll, recordReport, removeMember, type MemberState } from './members.ts'
 import { fleetMessageSchema, vmEntrySchema, type FleetMessage, type pollSchema, type Report } from './messages.ts'
 
 export const FLEET_SLICE = 'fleet'
@@ -89,7 +89,10 @@
     const poll = createPoll(++this.#sequence)
     this.#polls.set(this.#sequence, clock.readNow())
     this.#polls.delete(this.#sequence - MOST_POLLS)
-    for (const { entry } of listPolled(state, this.#round)) network.send(entry.vm, FLEET_SLICE, poll)
+    for (const member of listPolled(state, this.#round)) {
+      recordPoll(member, clock.readNow())
+      network.send(member.entry.vm, FLEET_SLICE, poll)
+    }
   }
 
   send (vm: string, message: FleetMessage): void {
@@ -162,10 +165,10 @@
   }
 
   #addEntry (value: unknown): void {
-    const { state, clock, logger } = this.#options
+    const { state, logger } = this.#options
     const parsed = vmEntrySchema.safeParse(value)
     if (!parsed.success) return
-    if (addMember(state, parsed.data, clock.readNow())) logger.info('vm known', { ...parsed.data })
+    if (addMember(state, parsed.data)) logger.info('vm known', { ...parsed.data })
   }
 
   async #register (): Promise<void> {
@@ -195,9 +198,8 @@
   #removeForgotten (): void {
     const { state, clock, store, logger } = this.#options
     const nowMs = clock.readNow()
-    const possible = new Set(listPossible(state, nowMs))
     for (const member of state.members.values()) {
-      if (possible.has(member) || nowMs - Math.max(member.heardAtMs, member.knownSinceMs) < FORGET_AFTER_MS) continue
+      if (measureMemberSilence(member, nowMs) < FORGET_AFTER_MS) continue
       const { vm } = member.entry
       store.find('vms', vm).then(async found => { if (found !== undefined) await store.delete('vms', vm, found.revision) })
         .catch((error: unknown) => logger.info('entry of a lost vm not removed', { vm, reason: String(error) }))
--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -1,20 +1,24 @@
 import { hashName, hashPair } from '@camphorpitch/wire'
 import type { VmEntry } from './messages.ts'
 
-/** A VM that has answered no poll for this long does not count as reachable, in milliseconds. */
-export const UNHEARD_AFTER_MS = 2_000
-/** A VM unheard for this long has its entry removed, in milliseconds. */
+/** A VM that has left a poll unanswered for this long does not count as reachable, in milliseconds: three rounds of polls. */
+export const UNHEARD_AFTER_MS = 1_500
+/** A VM silent for this long has its entry removed, in milliseconds. */
 export const FORGET_AFTER_MS = 60_000
+/** A VM silent for this long does not run any more, as far as anything that is safe without it needs to know. */
+const GONE_AFTER_MS = FORGET_AFTER_MS / 3
 /** VMs polled in each round. */
 const POLLED_VMS = 8
+/** Those of other regions among them: links between regions are dear, and carry the same news as those within. */
+const POLLED_ELSEWHERE = 2
 
 /** Another VM of the fleet. */
 export interface Member {
   entry: VmEntry
-  /** When this VM first learned of it. */
-  knownSinceMs: number
   /** When the last poll was sent that it has answered; `-Infinity` for none. */
   heardAtMs: number
+  /** When the first poll was sent that it has not answered since; `null` while it has answered all. */
+  unansweredSinceMs: number | null
 }
 
 export interface MemberState {
@@ -37,11 +41,11 @@
  *
  * @returns whether anything is new
  */
-export function addMember (state: MemberState, entry: VmEntry, nowMs: number): boolean {
+export function addMember (state: MemberState, entry: VmEntry): boolean {
   if (entry.vm === state.self.vm || entry.incarnation <= (state.left.get(entry.vm) ?? -Infinity)) return false
   const known = state.members.get(entry.vm)
   if (known !== undefined && known.entry.incarnation >= entry.incarnation) return false
-  state.members.set(entry.vm, { entry, knownSinceMs: nowMs, heardAtMs: -Infinity })
+  state.members.set(entry.vm, { entry, heardAtMs: -Infinity, unansweredSinceMs: null })
   state.changes++
   return true
 }
@@ -58,13 +62,24 @@
   removeMember(state, vm)
 }
 
+export function recordPoll (member: Member, nowMs: number): void {
+  member.unansweredSinceMs ??= nowMs
+}
+
 export function recordReport (state: MemberState, vm: string, pollSentAtMs: number): void {
   const member = state.members.get(vm)
-  if (member !== undefined) member.heardAtMs = Math.max(member.heardAtMs, pollSentAtMs)
+  if (member === undefined) return
+  member.heardAtMs = Math.max(member.heardAtMs, pollSentAtMs)
+  if (member.unansweredSinceMs !== null && pollSentAtMs >= member.unansweredSinceMs) member.unansweredSinceMs = null
+}
+
+/** For how long a VM has left polls unanswered, in milliseconds; 0 while it answers, or was never asked. */
+export function measureMemberSilence ({ unansweredSinceMs }: Member, nowMs: number): number {
+  return unansweredSinceMs === null ? 0 : nowMs - unansweredSinceMs
 }
 
 export function isHeard (member: Member, nowMs: number): boolean {
-  return nowMs - member.heardAtMs < UNHEARD_AFTER_MS
+  return member.heardAtMs > -Infinity && measureMemberSilence(member, nowMs) < UNHEARD_AFTER_MS
 }
 
 /** VMs that answer, this one not included. */
@@ -74,20 +89,27 @@
 
 /** VMs that may be running: those that answer, and those that have not been silent for long. */
 export function listPossible (state: MemberState, nowMs: number): Member[] {
-  return [...state.members.values()].filter(m => nowMs - Math.max(m.heardAtMs, m.knownSinceMs) < FORGET_AFTER_MS / 3)
+  return [...state.members.values()].filter(m => measureMemberSilence(m, nowMs) < GONE_AFTER_MS)
 }
 
 /** VMs that have answered not long ago. Only these are told to others, so that none that is gone comes back by hearsay. */
 export function listAnswering (state: MemberState, nowMs: number): Member[] {
-  return [...state.members.values()].filter(m => nowMs - m.heardAtMs < FORGET_AFTER_MS / 3)
+  return listPossible(state, nowMs).filter(m => m.heardAtMs > -Infinity)
 }
 
-/** VMs to poll in a round: all of a small fleet, a part that moves on with each round of a large one. */
+/** VMs to poll in a round: all of a small fleet; of a large one a part, mostly of this region, that moves on with each round. */
 export function listPolled (state: MemberState, round: number): Member[] {
   const all = [...state.members.values()].sort((a, b) => a.entry.vm < b.entry.vm ? -1 : 1)
   if (all.length <= POLLED_VMS) return all
-  const start = (round * POLLED_VMS) % all.length
-  return Array.from({ length: POLLED_VMS }, (_, i) => all[(start + i) % all.length]!)
+  const near = all.filter(m => m.entry.region === state.self.region)
+  const far = all.filter(m => m.entry.region !== state.self.region)
+  const nearCount = Math.min(near.length, POLLED_VMS - Math.min(POLLED_ELSEWHERE, far.length))
+  return [...pickInTurn(near, nearCount, round), ...pickInTurn(far, POLLED_VMS - nearCount, round)]
+}
+
+function pickInTurn (members: readonly Member[], count: number, round: number): Member[] {
+  const start = round * count
+  return Array.from({ length: Math.min(count, members.length) }, (_, i) => members[(start + i) % members.length]!)
 }
 
 /** Place of this VM among those that answer, for a service; 0 acts first. */
