Show what gateways believe: /status on the metrics address, camphorpitch gateways

Weighed: an object of each VM in the store (a write a VM and interval, priced) and the metrics address, which costs no call; the latter it is. Bounded: 200 services, 100 workspaces. Operations that nobody counted are told as such, no longer as over the rate.

--- a/packages/ctl/src/errors.ts
+++ b/packages/ctl/src/errors.ts
@@ -8,7 +8,7 @@
   /** The object was changed by somebody else; nothing was written. */
   conflict: 3,
   notFound: 4,
-  /** The object service was not reached, or the answer to a change was lost and could not be looked up. */
+  /** The object service or a gateway was not reached, or the answer to a change was lost and could not be looked up. */
   unknown: 5
 } as const
 
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -2,10 +2,11 @@
 import { contractCommands } from './commands/contract-commands.ts'
 import { databaseCommands } from './commands/database-commands.ts'
 import { fleetCommands } from './commands/fleet-commands.ts'
+import { gatewayCommands } from './commands/gateway-commands.ts'
 import { keyCommands } from './commands/key-commands.ts'
 
 await runCommandLine({
   binaryName: 'camphorpitch',
   binaryLabel: 'camphorpitch operators\' command',
-  commands: [...contractCommands, ...databaseCommands, ...keyCommands, ...fleetCommands]
+  commands: [...contractCommands, ...databaseCommands, ...keyCommands, ...fleetCommands, ...gatewayCommands]
 })
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -1,4 +1,4 @@
-import { MonotonicClock, WsPeerNetwork, type Clock, type Hello, type Logger, PEER_PROTOCOL_VERSION } from '@camphorpitch/wire'
+import { MonotonicClock, WsPeerNetwork, type Clock, type GatewayStatus, type Hello, type Logger, PEER_PROTOCOL_VERSION } from '@camphorpitch/wire'
 import type { EndpointConnector } from './backend/endpoint-connector.ts'
 import type { Promoter } from './backend/promoter.ts'
 import type { ClientListener } from './clients/client-listener.ts'
@@ -25,6 +25,7 @@
 import { GatewaySessionHost } from './sessions/gateway-session-host.ts'
 import type { GatewaySettings } from './settings.ts'
 import { createGatewayMetrics, type GatewayMetrics } from './telemetry/gateway-metrics.ts'
+import { createGatewayStatus } from './telemetry/gateway-status.ts'
 
 /** Pause between two watches of the endpoints, in milliseconds: those of a group come and go together, and every VM is told of each. */
 const ENDPOINTS_PAUSE_MS = 250
@@ -52,6 +53,8 @@
 export interface Gateway {
   metrics: GatewayMetrics
   isReady: () => boolean
+  /** What this VM believes and uses, for operators. */
+  readStatus: () => GatewayStatus
   /** Ends without cutting a running statement or, for half of the grace period, an open transaction. */
   drain: () => Promise<void>
 }
@@ -96,9 +99,11 @@
   })
   await listenForClients(parts, sessions)
   let isDraining = false
+  const isReady = (): boolean => !isDraining && configuration.current !== null && groups.list().length > 0
   return {
     metrics,
-    isReady: () => !isDraining && configuration.current !== null && groups.list().length > 0,
+    isReady,
+    readStatus: () => createGatewayStatus({ ...parts, isReady, countSessions: () => sessions.size }),
     drain: async () => {
       isDraining = true
       await drainSessions({ clock, logger, graceMs: settings.graceS * 1_000, listSessions: () => [...sessions] })
--- a/packages/gateway/src/limits/permit-requests.test.ts
+++ b/packages/gateway/src/limits/permit-requests.test.ts
@@ -198,6 +198,6 @@
     for (const vm of fleet.vms.keys()) fleet.cut.add(vm)
     const outsider = [...fleet.vms.values()].find(v => !pickCountingVms([...fleet.vms.values()].map(o => o.members.self), 'w0').some(e => e.vm === v.quotas.vm))!
     const verdict = await outsider.permits.request('w0')
-    expect(verdict).to.deep.equal({ isAdmitted: false, retryAfterMs: 500 })
+    expect(verdict).to.deep.equal({ isAdmitted: false, retryAfterMs: 500, isUncounted: true })
   })
 })
--- a/packages/gateway/src/limits/permit-requests.ts
+++ b/packages/gateway/src/limits/permit-requests.ts
@@ -74,7 +74,7 @@
     }
     const refusals = await this.#requestFromAll(workspace, state)
     if (refusals === 'admitted') return { isAdmitted: true }
-    if (refusals.length === 0) return { isAdmitted: false, retryAfterMs: UNCOUNTED_RETRY_MS }
+    if (refusals.length === 0) return { isAdmitted: false, retryAfterMs: UNCOUNTED_RETRY_MS, isUncounted: true }
     const retryAfterMs = Math.min(...refusals)
     state.refusedUntilMs = clock.readNow() + Math.min(MOST_REMEMBERED_MS, retryAfterMs)
     return { isAdmitted: false, retryAfterMs }
--- a/packages/gateway/src/limits/quota-keeper.ts
+++ b/packages/gateway/src/limits/quota-keeper.ts
@@ -6,7 +6,7 @@
 import { MOST_COUNTING_ALL, type CountingVms } from './counting-vms.ts'
 import { estimateDemand, createDemandShares, createFewDemand, createFleetDemand, recordVmDemand, sweepDemand, updateOwnDemand } from './demand-shares.ts'
 import { createDemandWindow, recordDemand, sumDemand } from './demand-window.ts'
-import { admitOperation, applyPressedBefore, countOperation, createQuotaState, hasReserve, updateQuotas, type QuotaVerdict } from './quota.ts'
+import { admitOperation, applyPressedBefore, countOperation, createQuotaState, hasReserve, updateQuotas, type FleetDemand, type QuotaVerdict } from './quota.ts'
 
 const MS_PER_SECOND = 1_000
 
@@ -92,10 +92,25 @@
     const isHeardByAll = isComplete || missing > 0 || counting.areFew
     updateOwnDemand(this.#shares, estimateDemand(this.#shares, sumDemand(this.#window, nowMs), missing), isHeardByAll)
     sweepDemand(this.#shares, nowMs)
+    updateQuotas(this.#state, configuration.current?.workspaces ?? [], this.#describeFleet(isComplete), nowMs)
+  }
+
+  /** Demand on each limited workspace, what its rate allows in a window, and this VM's part. */
+  listUse (): Array<{ workspace: string, demand: number, allowed: number, share: number }> {
+    const { configuration, settings } = this.#options
+    const fleet = this.#describeFleet(true)
+    return (configuration.current?.workspaces ?? []).flatMap(({ name, ratePerSecond }) => ratePerSecond === undefined
+      ? []
+      : [{ workspace: name, demand: fleet.readTotal(name), allowed: ratePerSecond * settings.quota.windowS, share: fleet.readShare(name) }])
+  }
+
+  #describeFleet (isComplete: boolean): FleetDemand {
+    const { members, counting, settings } = this.#options
+    if (counting.areFew) return createFewDemand(this.#shares, workspace => counting.isCounting(workspace))
+    const known = members.members.size + 1
     // Others may run that this VM has not heard of, until somebody who knows has told it.
-    const vms = members.isListed || isFirstStart ? all.length + 1 : Math.max(all.length + 1, MOST_COUNTING_ALL)
-    const fleet = counting.areFew ? createFewDemand(this.#shares, workspace => counting.isCounting(workspace)) : createFleetDemand(this.#shares, vms, isComplete)
-    updateQuotas(this.#state, configuration.current?.workspaces ?? [], fleet, nowMs)
+    const vms = members.isListed || settings.isFirstStart ? known : Math.max(known, MOST_COUNTING_ALL)
+    return createFleetDemand(this.#shares, vms, isComplete)
   }
 
   /** Whether this VM has counted for a whole window since its start. */
--- a/packages/gateway/src/limits/quota.ts
+++ b/packages/gateway/src/limits/quota.ts
@@ -134,7 +134,8 @@
   else state.lent.set(name, Math.min((state.lent.get(name) ?? 0) + lendable, Math.max(1, lendable)))
 }
 
-export type QuotaVerdict = { isAdmitted: true } | { isAdmitted: false, retryAfterMs: number }
+/** `isUncounted`: not refused for the limit, but because no VM that counts it answers. */
+export type QuotaVerdict = { isAdmitted: true } | { isAdmitted: false, retryAfterMs: number, isUncounted?: boolean }
 
 /** Counts one operation of a workspace against its limit, or refuses it. */
 export function admitOperation (state: QuotaState, workspace: string, nowMs: number): QuotaVerdict {
--- a/packages/gateway/src/sessions/gateway-session-host.ts
+++ b/packages/gateway/src/sessions/gateway-session-host.ts
@@ -63,6 +63,7 @@
     const { quotas, permits, metrics } = this.#options
     const verdict = quotas.isCountedByFew(workspace) ? await permits.request(workspace) : quotas.admit(workspace)
     if (verdict.isAdmitted) return null
+    if (verdict.isUncounted === true) return this.#refuseUncounted(id, workspace, verdict.retryAfterMs)
     metrics.quotaRefusals.inc({ workspace })
     const { refusal } = createRetryRefusal('tooMany', 'over the workspace\'s rate', verdict.retryAfterMs)
     this.logger.info('operation over its quota', { id, workspace, retryAfterMs: verdict.retryAfterMs })
@@ -97,6 +98,12 @@
 
   removeSession = (session: ClientSession): void => this.#options.removeSession(session)
 
+  #refuseUncounted (id: string, workspace: string, retryAfterMs: number): AnswerError {
+    this.#options.metrics.uncountedRefusals.inc()
+    this.logger.warn('operation not counted', { id, workspace, retryAfterMs })
+    return createRetryRefusal('busy', 'no vm that counts the workspace\'s rate answers', retryAfterMs).refusal
+  }
+
   #findGroup ({ route }: Operation): ServiceGroup | undefined {
     return this.#options.groups.find(route.service)
   }
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -8,6 +8,7 @@
   statementSeconds: Histogram<'service' | 'outcome'>
   refusals: Counter<'service' | 'code'>
   quotaRefusals: Counter<'workspace'>
+  uncountedRefusals: Counter
   connectionsOpened: Counter<'service'>
   promotions: Counter<'service' | 'result'>
   sessions: Gauge
@@ -23,6 +24,7 @@
     statementSeconds: new Histogram({ name: 'camphorpitch_gateway_statement_seconds', help: 'Time from a statement to its answer', labelNames: ['service', 'outcome'], buckets: STATEMENT_BUCKETS_SECONDS, registers }),
     refusals: new Counter({ name: 'camphorpitch_gateway_refusals_total', help: 'Statements answered with an error, by code', labelNames: ['service', 'code'], registers }),
     quotaRefusals: new Counter({ name: 'camphorpitch_gateway_quota_refusals_total', help: 'Operations refused for the workspace\'s rate', labelNames: ['workspace'], registers }),
+    uncountedRefusals: new Counter({ name: 'camphorpitch_gateway_uncounted_refusals_total', help: 'Operations refused as no VM that counts the workspace\'s rate answered', registers }),
     connectionsOpened: new Counter({ name: 'camphorpitch_gateway_connections_opened_total', help: 'Connections opened to endpoints', labelNames: ['service'], registers }),
     promotions: new Counter({ name: 'camphorpitch_gateway_promotions_total', help: 'Promotions attempted by this VM', labelNames: ['service', 'result'], registers }),
     sessions: new Gauge({ name: 'camphorpitch_gateway_sessions', help: 'Open client sessions', registers }),
--- /dev/null
+++ b/packages/gateway/src/telemetry/gateway-status.ts
@@ -0,0 +1,59 @@
+import { MOST_STATUS_SERVICES, MOST_STATUS_WORKSPACES, type Clock, type EndpointDoubt, type GatewayStatus } from '@camphorpitch/wire'
+import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
+import { listHeard, type MemberState } from '../fleet/members.ts'
+import { isPrimaryFresh } from '../freshness/group-state.ts'
+import type { GroupTable } from '../groups/group-table.ts'
+import type { ServiceGroup } from '../groups/service-group.ts'
+import type { QuotaKeeper } from '../limits/quota-keeper.ts'
+import { isSilent } from '../pool/endpoint-health.ts'
+import type { EndpointPool } from '../pool/endpoint-pool.ts'
+
+export interface StatusSources {
+  clock: Clock
+  configuration: ConfigurationHolder
+  members: MemberState
+  groups: GroupTable
+  quotas: QuotaKeeper
+  isReady: () => boolean
+  countSessions: () => number
+}
+
+/** Describes what this VM believes and uses, for operators. */
+export function createGatewayStatus ({ clock, configuration, members, groups, quotas, isReady, countSessions }: StatusSources): GatewayStatus {
+  const nowMs = clock.readNow()
+  return {
+    vm: members.self.vm,
+    isReady: isReady(),
+    configurationVersion: configuration.version,
+    vms: { known: members.members.size, heard: listHeard(members, nowMs).length },
+    sessions: countSessions(),
+    services: groups.list().slice(0, MOST_STATUS_SERVICES).map(g => describeGroup(g, nowMs)),
+    workspaces: quotas.listUse().sort((a, b) => b.demand / b.allowed - a.demand / a.allowed).slice(0, MOST_STATUS_WORKSPACES)
+  }
+}
+
+function describeGroup (group: ServiceGroup, nowMs: number): GatewayStatus['services'][number] {
+  const { primary, acknowledged } = group.state
+  const doubtful = [...group.pools.values()].map(p => ({ endpoint: p.entry.endpoint, doubts: listDoubts(p, nowMs) })).filter(d => d.doubts.length > 0)
+  return {
+    service: group.service,
+    primary: primary?.endpoint ?? null,
+    term: primary?.term ?? 0,
+    isTrusted: isPrimaryFresh(group.state, 0, nowMs),
+    acknowledged,
+    endpoints: group.pools.size,
+    doubtful
+  }
+}
+
+/** Why an endpoint is not used, or others are preferred to it. */
+export function listDoubts (pool: Pick<EndpointPool, 'entry' | 'health' | 'laggingUntilMs'>, nowMs: number): EndpointDoubt[] {
+  const { entry, health, laggingUntilMs } = pool
+  const doubts: EndpointDoubt[] = []
+  if (entry.isDraining) doubts.push('draining')
+  if (nowMs < laggingUntilMs) doubts.push('lagging')
+  if (isSilent(health, nowMs)) doubts.push('silent')
+  if (health.refusedSinceMs !== null) doubts.push('refusing')
+  else if (nowMs < health.avoidUntilMs) doubts.push('avoided')
+  return doubts
+}
