Draw scenarios with faults from seeds: camphorpitch-load soak

Paths between proxies and endpoints lead over links on loopback that delay, reset or silence them, also one way.

--- a/packages/load/src/experiment/schema.ts
+++ b/packages/load/src/experiment/schema.ts
@@ -1,5 +1,6 @@
 import { nameSchema, rateSchema } from '@camphorpitch/wire'
 import { z } from 'zod'
+import { linkModes } from '../fleet/loopback-link.ts'
 
 const millisecondsSchema = z.number().int().nonnegative()
 
@@ -50,6 +51,8 @@
   z.strictObject({ atMs, kind: z.literal('freeze-primary'), database: nameSchema, forMs: millisecondsSchema }),
   /** Body of `POST /faults` at an endpoint stand-in. */
   z.strictObject({ atMs, kind: z.literal('endpoint'), endpoint: nameSchema, faults: z.record(z.string(), z.unknown()) }),
+  /** What the path between all proxies and an endpoint does from now on. */
+  z.strictObject({ atMs, kind: z.literal('link'), endpoint: nameSchema, mode: z.enum(linkModes), delayMs: millisecondsSchema.default(0) }),
   /** Body of `POST /faults` at the platform stand-in. */
   z.strictObject({ atMs, kind: z.literal('platform'), faults: z.record(z.string(), z.unknown()) }),
   z.strictObject({ atMs, kind: z.literal('signal-vm'), vm: nameSchema, signal: z.enum(['SIGTERM', 'SIGKILL', 'SIGSTOP', 'SIGCONT']) }),
--- a/packages/load/src/faults/run-fault.ts
+++ b/packages/load/src/faults/run-fault.ts
@@ -21,6 +21,9 @@
     case 'endpoint':
       await sendFaults(findEndpoint(fleet, fault.endpoint).controlUrl, fault.faults)
       break
+    case 'link':
+      findEndpoint(fleet, fault.endpoint).link.setMode(fault.mode, fault.delayMs)
+      break
     case 'platform':
       await sendFaults(fleet.platformControlUrl, fault.faults)
       break
--- /dev/null
+++ b/packages/load/src/fleet/loopback-link.test.ts
@@ -0,0 +1,99 @@
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { expect } from 'chai'
+import { LoopbackLink } from './loopback-link.ts'
+
+const HOST = '127.0.0.1'
+
+async function waitUntil (isDone: () => boolean): Promise<void> {
+  while (!isDone()) await new Promise(resolve => setTimeout(resolve, 5))
+}
+
+describe('link on loopback', () => {
+  let server: Server
+  let link: LoopbackLink
+  let port: number
+  let received: string
+  let accepted: Socket[]
+  const clients: Socket[] = []
+
+  async function open (): Promise<Socket> {
+    const client = connect(port, HOST)
+    client.on('error', () => {})
+    clients.push(client)
+    await once(client, 'connect')
+    return client
+  }
+
+  beforeEach(async () => {
+    received = ''
+    accepted = []
+    server = createServer(socket => {
+      accepted.push(socket)
+      socket.on('error', () => {})
+      socket.on('data', piece => {
+        received += piece.toString()
+        socket.write(`echo ${piece.toString()}`)
+      })
+    })
+    await new Promise<void>(resolve => server.listen(0, HOST, resolve))
+    link = new LoopbackLink({ host: HOST, port: (server.address() as AddressInfo).port })
+    port = await link.start()
+  })
+
+  afterEach(async () => {
+    for (const c of clients.splice(0)) c.destroy()
+    await link.stop()
+    await new Promise(resolve => server.close(resolve))
+  })
+
+  it('carries both directions, and ends both ends with either', async () => {
+    const client = await open()
+    client.write('one')
+    const [answer] = await once(client, 'data')
+    expect(String(answer)).to.equal('echo one')
+    accepted[0]!.destroy()
+    await once(client, 'close')
+  })
+
+  it('keeps connections open in silence, in one direction or both', async () => {
+    const client = await open()
+    const answers: string[] = []
+    client.on('data', piece => answers.push(String(piece)))
+    client.write('one')
+    await waitUntil(() => answers.length === 1)
+    link.setMode('silentToClient')
+    client.write('two')
+    await waitUntil(() => received === 'onetwo')
+    link.setMode('silent')
+    client.write('three')
+    const other = await open()
+    other.write('four')
+    expect(client.destroyed).to.equal(false)
+    expect(answers).to.deep.equal(['echo one'])
+    link.setMode('open')
+    await waitUntil(() => client.destroyed)
+    expect(received).to.equal('onetwo')
+  })
+
+  it('cuts connections and refuses new ones', async () => {
+    const client = await open()
+    client.write('one')
+    await waitUntil(() => received === 'one')
+    link.setMode('reset')
+    await waitUntil(() => client.destroyed)
+    const late = connect(port, HOST)
+    late.on('error', () => {})
+    await waitUntil(() => late.destroyed)
+    expect(received).to.equal('one')
+  })
+
+  it('delays what it carries', async () => {
+    const client = await open()
+    link.setMode('open', 50)
+    const startedMs = performance.now()
+    client.write('one')
+    await once(client, 'data')
+    expect(performance.now() - startedMs).to.be.at.least(95)
+  })
+})
--- a/packages/load/src/fleet/start-fleet.ts
+++ b/packages/load/src/fleet/start-fleet.ts
@@ -6,6 +6,7 @@
 import { fileURLToPath } from 'node:url'
 import { ObjectClient, type Vm } from '@camphorpitch/wire'
 import { startChild, type LogLine, type StartedProcess } from './child-process.ts'
+import { LoopbackLink } from './loopback-link.ts'
 
 const HOST = '127.0.0.1'
 const VM_LIST_LAG_MS = 200
@@ -51,6 +52,8 @@
   port: number
   controlUrl: string
   process: StartedProcess
+  /** The path that proxies take to it. */
+  link: LoopbackLink
 }
 
 /** Stand-ins and proxies, each a process of its own on loopback. */
@@ -72,6 +75,7 @@
   directory: string
   options: FleetOptions
   processes: StartedProcess[]
+  links: LoopbackLink[]
 }
 
 /**
@@ -82,7 +86,7 @@
  */
 export async function startFleet (options: FleetOptions = {}): Promise<Fleet> {
   const directory = await mkdtemp(join(tmpdir(), 'camphorpitch-'))
-  const workplace: Workplace = { directory, options, processes: [] }
+  const workplace: Workplace = { directory, options, processes: [], links: [] }
   try {
     return await startParts(workplace)
   } catch (error) {
@@ -100,7 +104,7 @@
   const endpoints: FleetEndpoint[] = []
   for (const database of databases) {
     const group = await startGroup(workplace, database)
-    await objectClient.writeObject('database', database, 0, describeDatabase(database, group, pickLimits(workplace.options)))
+    await objectClient.writeObject('database', database, 0, await describeDatabase(database, group, pickLimits(workplace.options)))
     endpoints.push(...group)
   }
   const fleet: Fleet = {
@@ -139,7 +143,9 @@
   const settings = { ...workplace.options.endpoint, instance: endpoint, failureDomain, initialPrimary, members }
   const started = await startBinary(workplace, 'standins/dist/endpoint.js', endpoint, settings)
   const port = Number(started.ready.port)
-  return { endpoint, database, failureDomain, port, controlUrl: `http://${HOST}:${started.ready.controlPort}`, process: started }
+  const link = new LoopbackLink({ host: HOST, port })
+  workplace.links.push(link)
+  return { endpoint, database, failureDomain, port, controlUrl: `http://${HOST}:${started.ready.controlPort}`, process: started, link }
 }
 
 function pickLimits ({ endpoint = {} }: FleetOptions): EndpointLimits {
@@ -147,8 +153,8 @@
   return { maxConnections, slots }
 }
 
-function describeDatabase (database: string, group: FleetEndpoint[], limits: EndpointLimits) {
-  const endpoints = group.map(e => ({ endpoint: e.endpoint, host: HOST, port: e.port, failureDomain: e.failureDomain, region: e.failureDomain, ...limits }))
+async function describeDatabase (database: string, group: FleetEndpoint[], limits: EndpointLimits) {
+  const endpoints = await Promise.all(group.map(async e => ({ endpoint: e.endpoint, host: HOST, port: await e.link.start(), failureDomain: e.failureDomain, region: e.failureDomain, ...limits })))
   return { database, endpoints }
 }
 
@@ -186,7 +192,8 @@
   return path.slice(0, path.lastIndexOf(folder))
 }
 
-async function stopFleet ({ processes, directory }: Workplace): Promise<void> {
+async function stopFleet ({ processes, links, directory }: Workplace): Promise<void> {
   await Promise.all(processes.map(async p => await p.kill()))
+  await Promise.all(links.map(async l => await l.stop()))
   await rm(directory, { recursive: true, force: true })
 }
--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -1,6 +1,7 @@
 import { writeFileSync } from 'node:fs'
 import { readSettings, runCommandLine } from '@camphorpitch/wire'
-import { Command, Option } from 'clipanion'
+import { Command, Option, UsageError } from 'clipanion'
+import { z } from 'zod'
 import { presetNames, presets } from './experiment/presets.ts'
 import { checkExperiment, readExperiment } from './experiment/read-experiment.ts'
 import { runExperiment, type RunResult, type SystemName } from './experiment/run-experiment.ts'
@@ -9,9 +10,21 @@
 import { formatHtml } from './report/format-html.ts'
 import { formatTable } from './report/format-table.ts'
 import { createProgressPrinter } from './report/print-progress.ts'
+import { drawScenario } from './scenarios/draw-scenario.ts'
 import { runScenario } from './scenarios/run-scenario.ts'
 import { scenarioSchema } from './scenarios/schema.ts'
 
+/** Seeds that are not given are drawn below this one. */
+const SEED_RANGE = 1_000_000
+const countSchema = z.coerce.number().int().nonnegative()
+
+/** @throws UsageError unless the text is a whole number from 0 */
+function parseCount (text: string, option: string): number {
+  const parsed = countSchema.safeParse(text)
+  if (!parsed.success) throw new UsageError(`${option}: expected a whole number from 0, got ${text}`)
+  return parsed.data
+}
+
 class RunCommand extends Command {
   static override paths = [['run'], Command.Default]
   static override usage = Command.Usage({
@@ -79,6 +92,35 @@
   }
 }
 
+class SoakCommand extends Command {
+  static override paths = [['soak']]
+  static override usage = Command.Usage({
+    description: 'Run scenarios drawn from seeds on processes of their own, one after the other, and check what must always hold',
+    details: 'Prints each seed whose promises were broken with its scenario, which may be kept as a file. Exits with 1 when there was one.',
+    examples: [['Fifty seeds', '$0 soak --seeds 50'], ['One seed again', '$0 soak --from 17 --seeds 1']]
+  })
+
+  seeds = Option.String('--seeds', '10', { description: 'how many' })
+  from = Option.String('--from', { description: 'the first; drawn from the time of day if left out' })
+
+  override async execute (): Promise<number> {
+    handleInterrupt()
+    const first = this.from === undefined ? Date.now() % SEED_RANGE : parseCount(this.from, '--from')
+    const count = parseCount(this.seeds, '--seeds')
+    let broken = 0
+    for (let seed = first; seed < first + count; seed++) {
+      const scenario = drawScenario(seed)
+      const { violations, failures, ...counts } = await runScenario(scenario)
+      this.context.stdout.write(`seed ${seed}: ${JSON.stringify({ ...counts, failures: failures.length, violations })}\n`)
+      if (violations.length === 0 && counts.acknowledged > 0) continue
+      broken++
+      this.context.stdout.write(`${JSON.stringify(scenario)}\n`)
+    }
+    this.context.stdout.write(`${count} seeds from ${first}: ${broken} broken\n`)
+    return broken > 0 ? 1 : 0
+  }
+}
+
 function countReasons (failures: readonly string[]): Map<string, number> {
   const counts = new Map<string, number>()
   for (const f of failures) {
@@ -88,4 +130,4 @@
   return counts
 }
 
-await runCommandLine({ binaryName: 'camphorpitch-load', binaryLabel: 'camphorpitch load tool', commands: [RunCommand, ScenarioCommand] })
+await runCommandLine({ binaryName: 'camphorpitch-load', binaryLabel: 'camphorpitch load tool', commands: [RunCommand, ScenarioCommand, SoakCommand] })
--- /dev/null
+++ b/packages/load/src/scenarios/draw-scenario.test.ts
@@ -0,0 +1,52 @@
+import { existsSync, readdirSync } from 'node:fs'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { readSettings } from '@camphorpitch/wire'
+import { expect } from 'chai'
+import { drawScenario } from './draw-scenario.ts'
+import { runScenario } from './run-scenario.ts'
+import { scenarioSchema, type Scenario } from './schema.ts'
+
+const SCENARIO_TIMEOUT_MS = 120_000
+/** Seeds that are played with every test run. */
+const PLAYED_SEEDS = [1, 2]
+const failedDirectory = fileURLToPath(new URL('../../../../scenarios/soak/', import.meta.url))
+
+async function expectPromisesKept (scenario: Scenario): Promise<void> {
+  const { violations, acknowledged } = await runScenario(scenario)
+  expect(violations).to.deep.equal([])
+  expect(acknowledged).to.be.greaterThan(0)
+}
+
+describe('drawn scenarios', () => {
+  it('are the same for a seed, and differ between seeds', () => {
+    expect(drawScenario(7)).to.deep.equal(drawScenario(7))
+    expect(drawScenario(7).faults).not.to.deep.equal(drawScenario(8).faults)
+  })
+
+  it('hold every kind of trouble over a few hundred seeds', () => {
+    const kinds = new Set(Array.from({ length: 300 }, (_, seed) => drawScenario(seed)).flatMap(s => s.faults.map(f => f.kind)))
+    expect([...kinds].sort()).to.deep.equal(['endpoint', 'freeze-primary', 'kill-primary', 'link', 'platform', 'signal-vm', 'start-vm'])
+  })
+
+  it('leave two proxies alone at least, name none after its end, and end before the calm', () => {
+    for (let seed = 0; seed < 500; seed++) {
+      const { faults, fleet, durationMs } = drawScenario(seed)
+      const ended = faults.filter(f => f.kind === 'signal-vm' && ['SIGKILL', 'SIGTERM'].includes(f.signal))
+      expect(ended.length, `seed ${seed}`).to.be.at.most(fleet.vms - 2)
+      expect(new Set(ended.map(f => 'vm' in f ? f.vm : '')).size, `seed ${seed}`).to.equal(ended.length)
+      expect(faults.every(f => f.atMs <= durationMs - 5_000), `seed ${seed}`).to.equal(true)
+    }
+  })
+})
+
+describe('soak with real processes', function () {
+  this.timeout(SCENARIO_TIMEOUT_MS)
+  for (const seed of PLAYED_SEEDS) it(`keeps every promise with seed ${seed}`, async () => await expectPromisesKept(drawScenario(seed)))
+
+  const failed = existsSync(failedDirectory) ? readdirSync(failedDirectory).filter(f => f.endsWith('.json')).sort() : []
+  for (const file of failed) {
+    const scenario = readSettings(join(failedDirectory, file), scenarioSchema)
+    it(`${scenario.name}: ${scenario.about}`, async () => await expectPromisesKept(scenario))
+  }
+})
--- a/packages/load/src/scenarios/schema.ts
+++ b/packages/load/src/scenarios/schema.ts
@@ -27,7 +27,9 @@
     /** Least number of reads that replicas served. */
     minReplicaReads: z.number().int().nonnegative().optional(),
     /** No statement may be refused, unknown or cut. */
-    noFailures: z.boolean().default(false)
+    noFailures: z.boolean().default(false),
+    /** Every fault must come about; a drawn one may find its target gone. */
+    allFaults: z.boolean().default(true)
   }).prefault({})
 })
 export type Scenario = z.output<typeof scenarioSchema>
