--- a/packages/load/src/fleet/loopback-link.ts
+++ b/packages/load/src/fleet/loopback-link.ts
@@ -18,7 +18,7 @@
 /**
  * A TCP path on loopback that can be delayed, silenced and cut from outside of both ends.
  *
- * @example const link = new LoopbackLink({ host: '127.0.0.1', port: 3306 }); const port = await link.start()
+ * @example const link = new LoopbackLink({ host: '127.0.0.1', port: 3306 }); await link.start() // clients connect to link.port
  */
 export class LoopbackLink {
   mode: LinkMode = 'open'
@@ -33,13 +33,20 @@
     this.#server = createServer(client => this.#accept(client))
   }
 
-  /** @returns the port that clients connect to */
-  async start (): Promise<number> {
+  /** Port that clients connect to; 0 before the start. */
+  get port (): number {
+    return (this.#server.address() as AddressInfo | null)?.port ?? 0
+  }
+
+  get targetPort (): number {
+    return this.#options.port
+  }
+
+  async start (): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject)
       this.#server.listen(0, this.#options.host, resolve)
     })
-    return (this.#server.address() as AddressInfo).port
   }
 
   /** What was silenced is lost with its connection: a stream that goes on would have a hole. */
--- a/packages/load/src/fleet/start-fleet.ts
+++ b/packages/load/src/fleet/start-fleet.ts
@@ -104,7 +104,7 @@
   const endpoints: FleetEndpoint[] = []
   for (const database of databases) {
     const group = await startGroup(workplace, database)
-    await objectClient.writeObject('database', database, 0, await describeDatabase(database, group, pickLimits(workplace.options)))
+    await objectClient.writeObject('database', database, 0, describeDatabase(database, group, pickLimits(workplace.options)))
     endpoints.push(...group)
   }
   const fleet: Fleet = {
@@ -145,6 +145,7 @@
   const port = Number(started.ready.port)
   const link = new LoopbackLink({ host: HOST, port })
   workplace.links.push(link)
+  await link.start()
   return { endpoint, database, failureDomain, port, controlUrl: `http://${HOST}:${started.ready.controlPort}`, process: started, link }
 }
 
@@ -153,8 +154,8 @@
   return { maxConnections, slots }
 }
 
-async function describeDatabase (database: string, group: FleetEndpoint[], limits: EndpointLimits) {
-  const endpoints = await Promise.all(group.map(async e => ({ endpoint: e.endpoint, host: HOST, port: await e.link.start(), failureDomain: e.failureDomain, region: e.failureDomain, ...limits })))
+function describeDatabase (database: string, group: FleetEndpoint[], limits: EndpointLimits) {
+  const endpoints = group.map(e => ({ endpoint: e.endpoint, host: HOST, port: e.link.port, failureDomain: e.failureDomain, region: e.failureDomain, ...limits }))
   return { database, endpoints }
 }
 
