Bound what is lent and spread by the tolerated excess

Ruled out: cut VMs, dropped limits and kills (all later than the window). Test that failed first: the six loads of quota.test.ts with a large workspace (983 of 966 after a kill while it presses). Tried: lending bounded alone (983 still), spread 0.25 of the overshoot (967), 0.1 (973 in another seed); with the restarted VM's part 0.1 instead of 0.2 all hold in 20 seeds.

--- a/packages/gateway/src/limits/quota.test.ts
+++ b/packages/gateway/src/limits/quota.test.ts
@@ -96,6 +96,7 @@
 }
 
 const workspace: Workspace = { name: 'lab', keys: [], ratePerSecond: 48, burst: 48 }
+const large: Workspace = { name: 'hall', keys: [], ratePerSecond: 86, burst: 430 }
 const small: Workspace = { name: 'shop', keys: [], ratePerSecond: 10, burst: 10 }
 
 function countAllowed ({ ratePerSecond = 0, burst = 0 }: Workspace): number {
@@ -121,7 +122,7 @@
   for (const [title, load] of Object.entries(loads)) {
     it(`holds in every window when ${title}, in 20 seeds`, () => {
       for (let seed = 1; seed <= 20; seed++) {
-        for (const limited of [workspace, small]) {
+        for (const limited of [workspace, small, large]) {
           const rateAt = (nowMs: number): number => load.rateAt(nowMs) * limited.ratePerSecond! / workspace.ratePerSecond!
           const { admitted } = playLoad({ ...load, rateAt, vms: 8, workspace: limited, lengthMs: 20_000 }, seed)
           expect(findBusiestWindow(admitted), `${limited.name}, seed ${seed}`).to.be.at.most(countAllowed(limited))
--- a/packages/gateway/src/limits/quota.ts
+++ b/packages/gateway/src/limits/quota.ts
@@ -3,16 +3,20 @@
 
 /** Operations of a window that are added to what each VM was asked for, as few operations tell little of the next ones. */
 const PRIOR_OPERATIONS = 1
-/** Part of the tolerated excess that is spread over the VMs, so that few operations need not come evenly. */
+/** Part of the tolerated slack that is spread over the VMs, so that few operations need not come evenly. */
 const SPREAD_PART = 0.5
-/** The same where few VMs count: their parts are large, and the others may admit a little uncounted. */
-const SPREAD_PART_OF_FEW = 0.25
+/** The same of what a large limit may be overshot by: it must also cover parts that do not add up while demand moves. */
+const SPREAD_PART_OF_OVERSHOOT = 0.1
+/** Part of the spread where few VMs count: their parts are large, and the others may admit a little uncounted. */
+const SPREAD_PART_OF_FEW = 0.6
 /** Part of the tolerated excess that a restarted VM may use, as it does not know what it used before. */
-const RESTART_PART = 0.2
+const RESTART_PART = 0.1
 /** A workspace that asks for less than this part of its rate is calm: its limit is far from used up. */
 const CALM_PART = 0.8
 /** Part of a calm workspace's limit that all VMs together may admit in a round beyond their parts. */
 const LENT_PART = 0.05
+/** The same as a part of the tolerated excess: two rounds of it, the spread part and a restart's part fill the excess. */
+const LENT_PART_OF_EXCESS = 0.15
 /** Part of its burst that a workspace may use right after a restart if it was calm before. */
 const REMEMBERED_PART = 0.7
 /** Part of its bucket that a calm workspace has left. */
@@ -105,7 +109,7 @@
   const rateInWindow = ratePerSecond * windowMs / MS_PER_SECOND
   const excess = (rateInWindow + burst) * overshoot + slack
   const rate = Math.max(MIN_RATE, ratePerSecond * share / MS_PER_SECOND)
-  const ownBurst = ratePerSecond + burst === 0 ? 0 : Math.max(1, burst * share + (fleet.isCountedByFew ? SPREAD_PART_OF_FEW : SPREAD_PART) * excess / fleet.vms)
+  const ownBurst = ratePerSecond + burst === 0 ? 0 : Math.max(1, burst * share + computeSpread(state.tolerance, rateInWindow + burst, fleet))
   const bucket = state.buckets.get(name)
   if (share === 0) state.buckets.delete(name)
   else if (bucket !== undefined) replaceRate(bucket, rate, ownBurst, nowMs)
@@ -113,7 +117,13 @@
     const level = Math.min(ownBurst, computeFirstLevel(state, name, { ownBurst, cautious: RESTART_PART * excess * share, calm: REMEMBERED_PART * burst * share }, fleet, nowMs))
     state.buckets.set(name, createBucket(rate, ownBurst, nowMs - level / rate))
   }
-  updateLent(state, name, { rateInWindow, lendable: LENT_PART * (rateInWindow + burst + slack) / fleet.vms }, fleet, nowMs)
+  updateLent(state, name, { rateInWindow, lendable: Math.min(LENT_PART * (rateInWindow + burst + slack), LENT_PART_OF_EXCESS * excess) / fleet.vms }, fleet, nowMs)
+}
+
+/** Operations that this VM's bucket holds beyond its part of the burst. */
+function computeSpread ({ overshoot, slack }: QuotaTolerance, allowed: number, { vms, isCountedByFew }: FleetDemand): number {
+  const whole = SPREAD_PART * slack + SPREAD_PART_OF_OVERSHOOT * allowed * overshoot
+  return (isCountedByFew ? SPREAD_PART_OF_FEW * whole : whole) / vms
 }
 
 /** Operations that a new bucket holds, by what may have been used of the limit before. */
