--- a/packages/ctl/src/commands/gateway-commands.ts
+++ b/packages/ctl/src/commands/gateway-commands.ts
@@ -1,4 +1,4 @@
-import { gatewayStatusSchema, type GatewayStatus } from '@camphorpitch/wire'
+import { describeError, gatewayStatusSchema, type GatewayStatus } from '@camphorpitch/wire'
 import { Command, Option } from 'clipanion'
 import { ExitCode } from '../errors.ts'
 
@@ -39,7 +39,7 @@
     return parsed.success ? { address, status: parsed.data } : { address, error: `not a gateway's status: ${parsed.error.issues[0]?.path.join('.') ?? ''}` }
   } catch (error) {
     const cause = error instanceof Error && error.cause instanceof Error ? error.cause : error
-    return { address, error: cause instanceof Error ? cause.message : String(cause) }
+    return { address, error: describeError(cause) }
   }
 }
 
--- a/packages/ctl/src/commands/platform-command.ts
+++ b/packages/ctl/src/commands/platform-command.ts
@@ -1,4 +1,4 @@
-import { ObjectClient, SettingsError } from '@camphorpitch/wire'
+import { describeError, ObjectClient, SettingsError } from '@camphorpitch/wire'
 import { Command, Option } from 'clipanion'
 import { ControlError, ExitCode, selectExitCode } from '../errors.ts'
 
@@ -37,7 +37,7 @@
 
   private printError (error: unknown): number {
     const exitCode = selectExitCode(error)
-    const message = error instanceof Error ? error.message : String(error)
+    const message = describeError(error)
     const hint = error instanceof ControlError || exitCode !== ExitCode.unknown ? '' : '; nothing was changed'
     if (this.json) this.context.stdout.write(`${JSON.stringify({ error: { exitCode, message: message + hint } })}\n`)
     else this.context.stderr.write(`${message}${hint}\n`)
--- a/packages/gateway/src/clock/elapsed-clock.ts
+++ b/packages/gateway/src/clock/elapsed-clock.ts
@@ -7,7 +7,7 @@
 const MS_PER_SECOND = 1_000
 
 export interface ElapsedClockOptions {
-  /** Milliseconds that stand still while the machine is suspended. */
+  /** Milliseconds that stand still while the VM is suspended. */
   readSteadyMs?: () => number
   /** Time of day in milliseconds; may jump. */
   readWallMs?: () => number
@@ -16,7 +16,7 @@
 }
 
 /**
- * Monotonic time that includes suspensions of the machine.
+ * Monotonic time that includes suspensions of the VM.
  *
  * The steady clock stands still during a suspension while the time of day goes on, so wherever the two
  * part the uptime is read, which neither stands still nor jumps.
--- a/packages/gateway/src/failover/failover-watch.ts
+++ b/packages/gateway/src/failover/failover-watch.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger } from '@camphorpitch/wire'
+import { describeError, type Clock, type Logger } from '@camphorpitch/wire'
 import { computeRank, listHeard, listPossible, type MemberState } from '../fleet/members.ts'
 import { isRevoked } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
@@ -77,7 +77,7 @@
       this.#options.recordResult(service, promoted === null ? 'none' : 'promoted')
       if (promoted !== null) this.recordChange(service)
     }, (error: unknown) => {
-      this.#options.logger.info('promotion not begun', { service, reason: error instanceof Error ? error.message : String(error) })
+      this.#options.logger.info('promotion not begun', { service, reason: describeError(error) })
     }).finally(() => {
       this.#running.delete(service)
       this.#notBeforeMs.set(service, Math.max(this.#notBeforeMs.get(service) ?? 0, this.#options.clock.readNow() + ATTEMPT_INTERVAL_MS / 3))
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -1,4 +1,4 @@
-import { comparePositions, type Clock, type Logger, type LogPosition } from '@camphorpitch/wire'
+import { comparePositions, describeError, type Clock, type Logger, type LogPosition } from '@camphorpitch/wire'
 import type { EndpointStatus } from '../backend/endpoint-connector.ts'
 import type { Promoter } from '../backend/promoter.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
@@ -79,7 +79,7 @@
   try {
     promoted = await promoteCandidate(attempt)
   } catch (error) {
-    host.logger.error('promotion failed', { service: group.service, error: error instanceof Error ? error.message : String(error) })
+    host.logger.error('promotion failed', { service: group.service, error: describeError(error) })
   }
   await finishAttempt(attempt, promoted)
   return promoted
@@ -205,7 +205,7 @@
       const status = await host.control.run(entry, command)
       if (status !== null) return status
     } catch (error) {
-      host.logger.info('control command not answered', { endpoint: entry.endpoint, reason: error instanceof Error ? error.message : String(error) })
+      host.logger.info('control command not answered', { endpoint: entry.endpoint, reason: describeError(error) })
       return null
     }
     await waitFor(BUSY_PAUSE_MS)
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger } from '@camphorpitch/wire'
+import { describeError, type Clock, type Logger } from '@camphorpitch/wire'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import { isRevoked, recordLeadership } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
@@ -33,7 +33,7 @@
 
   /** Returns once the group has been asked, or after `waitMs`. */
   async verifyLeadership (group: ServiceGroup, waitMs: number): Promise<void> {
-    await Promise.race([this.#runOnce(`prove ${group.service}`, async () => await this.#probeReplicas(group)), waitFor(waitMs)])
+    await Promise.race([this.#runOnce(`prove ${group.service}`, async () => await this.#pollReplicas(group)), waitFor(waitMs)])
   }
 
   /** Asks all endpoints for their role and takes in who leads. */
@@ -50,12 +50,12 @@
 
   /** Asks one endpoint for its role. */
   async checkRole (group: ServiceGroup, entry: EndpointEntry): Promise<'primary' | 'replica' | null> {
-    const status = await this.#probe(entry)
+    const status = await this.#findStatus(entry)
     if (status?.role === 'primary') group.adoptPrimary(entry.endpoint, status.term, 'asked')
     return status?.role ?? null
   }
 
-  async #probeReplicas (group: ServiceGroup): Promise<void> {
+  async #pollReplicas (group: ServiceGroup): Promise<void> {
     const primary = group.state.primary
     const sentAtMs = this.#options.clock.readNow()
     const pools = [...group.pools.values()]
@@ -64,7 +64,7 @@
     if (primary.term === 0 && primaryEntry !== undefined) await this.checkRole(group, primaryEntry)
     const replicas = pools.filter(p => p.entry.endpoint !== primary.endpoint)
     const verify = async (entry: EndpointEntry): Promise<EndpointEntry> => {
-      const status = await this.#probe(entry)
+      const status = await this.#findStatus(entry)
       const { primary: current } = group.state
       const isFollowing = status?.role === 'replica' && status.pausedForTerm === 0 && status.term === current?.term
       if (current === null || !isFollowing) throw new Error(`${entry.endpoint} does not prove it`)
@@ -82,11 +82,11 @@
     }
   }
 
-  async #probe (entry: EndpointEntry): ReturnType<ControlConnections['run']> {
+  async #findStatus (entry: EndpointEntry): ReturnType<ControlConnections['run']> {
     try {
       return await this.#options.control.run(entry, async c => await c.readStatus())
     } catch (error) {
-      this.#options.logger.info('status not answered', { endpoint: entry.endpoint, reason: error instanceof Error ? error.message : String(error) })
+      this.#options.logger.info('status not answered', { endpoint: entry.endpoint, reason: describeError(error) })
       return null
     }
   }
--- a/packages/gateway/src/fleet/fleet-messages.ts
+++ b/packages/gateway/src/fleet/fleet-messages.ts
@@ -13,7 +13,7 @@
 import { applyGroupReport, createGroupReport } from './group-reports.ts'
 import { listAnswering, listPossible, type MemberState } from './members.ts'
 import { decodeGroupReport, encodeGroupReport, type FleetMessage, type Report, type VmEntry } from './messages.ts'
-import { RevocationCollector } from './revocations.ts'
+import { addOwnPosition, RevocationCollector } from './revocations.ts'
 
 /** Polls after a start that tell who asks. */
 const INTRODUCTIONS = 20
@@ -150,10 +150,7 @@
     const collecting = this.#revocations.collect(attempt, vms, waitMs)
     for (const vm of vms) this.#fleet?.send(vm, { type: 'revoke', service: group.service, endpoint, term, attempt, isPlanned })
     await this.#revokeOwn(group, endpoint, term, isPlanned)
-    const revocation = await collecting
-    const { acknowledged } = group.state
-    const isOwnLater = acknowledged !== null && (revocation.acknowledged === null || acknowledged.index > revocation.acknowledged.index)
-    return { ...revocation, acknowledged: isOwnLater ? acknowledged : revocation.acknowledged }
+    return addOwnPosition(await collecting, group.state.acknowledged)
   }
 
   #publishOutcome (group: ServiceGroup, endpoint: string | null, term: number, ledAtMs: number): void {
--- a/packages/gateway/src/fleet/revocations.ts
+++ b/packages/gateway/src/fleet/revocations.ts
@@ -7,6 +7,12 @@
   finish: () => void
 }
 
+/** Adds what this VM itself knows to be acknowledged to what the others have told. */
+export function addOwnPosition (revocation: Revocation, acknowledged: LogPosition | null): Revocation {
+  if (acknowledged === null) return revocation
+  return { ...revocation, acknowledged: pickLaterPosition(revocation.acknowledged, acknowledged) }
+}
+
 /** Collects the confirmations of other VMs that they no longer trust a primary. */
 export class RevocationCollector {
   readonly #open = new Map<string, OpenRevocation>()
@@ -31,7 +37,7 @@
     const revocation = this.#open.get(attempt)
     if (revocation === undefined) return
     revocation.missing.delete(vm)
-    if (acknowledged !== undefined) revocation.acknowledged = revocation.acknowledged === null ? acknowledged : pickLaterPosition(revocation.acknowledged, acknowledged)
+    if (acknowledged !== undefined) revocation.acknowledged = pickLaterPosition(revocation.acknowledged, acknowledged)
     if (revocation.missing.size === 0) revocation.finish()
   }
 }
--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -90,7 +90,7 @@
 
 /** Takes in a position that was acknowledged, by this VM or another. */
 export function recordAcknowledged (state: GroupState, position: LogPosition): void {
-  state.acknowledged = state.acknowledged === null ? position : pickLaterPosition(state.acknowledged, position)
+  state.acknowledged = pickLaterPosition(state.acknowledged, position)
 }
 
 /** Takes in the log's end that the primary showed in an answer to what was sent at `sentAtMs`. */
--- a/packages/gateway/src/metadata/watch-kind.test.ts
+++ b/packages/gateway/src/metadata/watch-kind.test.ts
@@ -10,7 +10,7 @@
   while (!isDone()) await new Promise(resolve => setTimeout(resolve, STEP_MS))
 }
 
-function startWatch (store: MemoryStore): { names: Set<string>, returns: () => number, stop: () => void, refresh: () => void } {
+function startWatch (store: MemoryStore): { names: Set<string>, returns: () => number, stop: () => void } {
   const names = new Set<string>()
   let returned = 0
   const watch = watchKind({
@@ -30,7 +30,7 @@
       }
     }
   })
-  return { names, returns: () => returned, stop: () => watch.stop(), refresh: () => watch.refresh() }
+  return { names, returns: () => returned, stop: () => watch.stop() }
 }
 
 describe('watch of a kind', () => {
--- a/packages/gateway/src/metadata/watch-kind.ts
+++ b/packages/gateway/src/metadata/watch-kind.ts
@@ -1,4 +1,4 @@
-import { MonotonicClock, type Logger } from '@camphorpitch/wire'
+import { describeError, MonotonicClock, type Logger } from '@camphorpitch/wire'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import { HistoryGoneError, type Change, type Changes, type Listing, type MetadataStore, type ObjectKind, type ObjectKinds } from './metadata-store.ts'
 
@@ -49,12 +49,6 @@
     this.#run().catch((error: unknown) => logger.error('watch ended', { kind, error: String(error) }))
   }
 
-  /** Lists again now, as somebody has seen a later revision. */
-  refresh (): void {
-    this.#since = null
-    this.#abandon?.()
-  }
-
   stop (): void {
     this.#isStopped = true
     this.#abandon?.()
@@ -127,7 +121,7 @@
     }
     if (this.#isLost) return
     this.#isLost = true
-    logger.warn('store lost', { kind, reason: error instanceof Error ? error.message : String(error) })
+    logger.warn('store lost', { kind, reason: describeError(error) })
   }
 }
 
--- a/packages/gateway/src/pool/endpoint-pool.ts
+++ b/packages/gateway/src/pool/endpoint-pool.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger } from '@camphorpitch/wire'
+import { describeError, type Clock, type Logger } from '@camphorpitch/wire'
 import type { EndpointConnector } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError, EndpointRefusedError } from '../backend/errors.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
@@ -75,10 +75,6 @@
     return this.drainingSinceMs === null ? 0 : nowMs - this.drainingSinceMs
   }
 
-  get open (): number {
-    return this.#slots.size
-  }
-
   get waiting (): number {
     return this.#waiting.size
   }
@@ -172,7 +168,7 @@
     const { clock, logger } = this.#options
     const nowMs = clock.readNow()
     this.#slots.delete(slot.id)
-    const reason = error instanceof Error ? error.message : String(error)
+    const reason = describeError(error)
     logger.info('endpoint connection failed', { endpoint: this.entry.endpoint, workspace: slot.workspace, reason, afterMs: Math.round(nowMs - sentAtMs) })
     if (error instanceof EndpointRefusedError) return this.#handleRefusal(error.code, nowMs)
     recordUnanswered(this.health, nowMs)
--- a/packages/gateway/src/pool/pooled-connection.ts
+++ b/packages/gateway/src/pool/pooled-connection.ts
@@ -34,7 +34,7 @@
    * Sends what brings the connection to the session's values and to the one prepared statement that runs next.
    * Nothing is awaited: the endpoint runs what is sent in order.
    *
-   * @returns the answers still to come
+   * @returns the answers still to come; without one the connection is lost, which the statement after them shows
    */
   restoreSession (contents: SessionContents, preparedName: string | null): Array<Promise<EndpointAnswer>> {
     const sent: Array<Promise<EndpointAnswer>> = []
@@ -50,6 +50,7 @@
       this.#values.set(name, value)
     }
     if (preparedName !== null) this.#restorePrepared(contents, preparedName, sent)
+    for (const answer of sent) answer.catch(() => {}) // Reported with the statement that follows.
     return sent
   }
 
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -244,7 +244,7 @@
     this.#host.recordOutcome(operation, outcome)
     if ('refusal' in outcome) return this.#answer({ error: outcome.refusal, state })
     const { rows, signature, error, position } = outcome.answer
-    if (isCommit && error === null && position !== null) this.#position = this.#position === null ? position : pickLaterPosition(this.#position, position)
+    if (isCommit && error === null && position !== null) this.#position = pickLaterPosition(this.#position, position)
     this.#answer({ rows, signature, error, state, position })
   }
 
--- a/packages/gateway/src/sessions/gateway-session-host.ts
+++ b/packages/gateway/src/sessions/gateway-session-host.ts
@@ -82,7 +82,7 @@
 
   openTransaction = async (operation: Operation, isReadOnly: boolean): Promise<OpenedTransaction> => {
     const group = this.#findGroup(operation)
-    return group === undefined ? this.#refuseWithoutGroup(operation) as OpenedTransaction : await openTransaction(this.#context, group, operation, isReadOnly)
+    return group === undefined ? this.#refuseWithoutGroup(operation) : await openTransaction(this.#context, group, operation, isReadOnly)
   }
 
   recordOutcome = (operation: Operation, outcome: Outcome): void => {
@@ -108,7 +108,7 @@
     return this.#options.groups.find(route.service)
   }
 
-  #refuseWithoutGroup ({ route }: Operation): { refusal: AnswerError } {
+  #refuseWithoutGroup ({ route }: Operation): { refusal: { code: 'busy', text: string } } {
     return createRetryRefusal('busy', `no endpoint of ${route.service} is registered`, NO_ENDPOINTS_RETRY_MS)
   }
 
--- a/packages/gateway/src/statements/operation.ts
+++ b/packages/gateway/src/statements/operation.ts
@@ -39,6 +39,6 @@
 }
 
 /** A refusal that names the time to come back. */
-export function createRetryRefusal (code: AnswerError['code'], reason: string, retryAfterMs: number): { refusal: AnswerError } {
+export function createRetryRefusal<C extends AnswerError['code']> (code: C, reason: string, retryAfterMs: number): { refusal: { code: C, text: string } } {
   return { refusal: { code, text: `${reason}; retry after ${Math.ceil(retryAfterMs)} ms` } }
 }
--- a/packages/gateway/src/statements/pinned-transaction.ts
+++ b/packages/gateway/src/statements/pinned-transaction.ts
@@ -1,3 +1,4 @@
+import { describeError } from '@camphorpitch/wire'
 import type { EndpointAnswer } from '../backend/endpoint-connector.ts'
 import { isPrimaryFresh } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
@@ -56,7 +57,7 @@
       if (answer.error !== null || answer.state !== 'open') this.rollback()
       return { answer, endpoint: this.pool.entry.endpoint }
     } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error)
+      const reason = describeError(error)
       this.#context.logLoss(operation, this.pool, reason)
       return this.#abandon(reason)
     }
@@ -73,7 +74,7 @@
       return { answer, endpoint: this.pool.entry.endpoint }
     } catch (error) {
       this.#end(false)
-      const reason = error instanceof Error ? error.message : String(error)
+      const reason = describeError(error)
       this.#context.logLoss(operation, this.pool, reason)
       return { refusal: { code: this.#hasWritten ? 'inDoubt' : 'failed', text: reason } }
     }
@@ -91,17 +92,11 @@
     )
   }
 
-  /** Closes the connection at once, which rolls back. */
-  drop (): void {
-    this.#end(false)
-  }
-
   async #runPatiently (operation: Operation, isWrite: boolean): Promise<EndpointAnswer> {
     const { clock } = this.#context
     const { statement, contents, preparedName } = operation
     for (let tries = 1; ; tries++) {
-      const restored = this.#connection.restoreSession(contents, preparedName)
-      for (const r of restored) r.catch(() => {}) // Lost with the connection, as is the statement below.
+      this.#connection.restoreSession(contents, preparedName)
       const timeLeftMs = computeTimeLeftMs(operation, clock.readNow())
       const answer = await this.#group.runStatement(this.pool, isWrite, timeLeftMs, async () => await this.#connection.run(statement.id, statement.text, null))
       const isWorthRepeating = answer.error?.code === 'busy' && answer.state === 'open' && tries < BUSY_TRIES
@@ -152,7 +147,7 @@
   if ('refusal' in acquired) return acquired
   if (!isFresh()) {
     acquired.pool.release(acquired.connection, true)
-    return createRetryRefusal('lagging', 'the primary is not known to lead', RETRY_AFTER_MS) as OpenedTransaction
+    return createRetryRefusal('lagging', 'the primary is not known to lead', RETRY_AFTER_MS)
   }
   return await sendBegin(context, group, operation, { pool: acquired.pool, atLeast: null, isReadOnly }, acquired.connection)
 }
@@ -164,14 +159,13 @@
     return await sendBegin(context, group, operation, { pool, atLeast, isReadOnly: true }, connection)
   } catch (error) {
     if (!(error instanceof PoolError)) throw error
-    return createRetryRefusal('busy', error.message, RETRY_AFTER_MS) as OpenedTransaction
+    return createRetryRefusal('busy', error.message, RETRY_AFTER_MS)
   }
 }
 
 async function sendBegin (context: StatementContext, group: ServiceGroup, operation: Operation, where: ReadTarget & { isReadOnly: boolean }, connection: PooledConnection): Promise<OpenedTransaction> {
   const { pool, atLeast, isReadOnly } = where
-  const restored = connection.restoreSession(operation.contents, null)
-  for (const r of restored) r.catch(() => {}) // Lost with the connection, as is the statement below.
+  connection.restoreSession(operation.contents, null)
   try {
     const timeLeftMs = computeTimeLeftMs(operation, context.clock.readNow())
     const answer = await group.runStatement(pool, false, timeLeftMs, async () => await connection.connection.begin(operation.statement.id, isReadOnly, atLeast))
@@ -181,9 +175,9 @@
     return describeFailedBegin(context, group, pool, answer)
   } catch (error) {
     pool.release(connection, false)
-    const reason = error instanceof Error ? error.message : String(error)
+    const reason = describeError(error)
     context.logLoss(operation, pool, reason)
-    return createRetryRefusal('aborted', reason, RETRY_AFTER_MS) as OpenedTransaction
+    return createRetryRefusal('aborted', reason, RETRY_AFTER_MS)
   }
 }
 
@@ -191,5 +185,5 @@
   if (error?.code === 'lagging') pool.laggingUntilMs = context.clock.readNow() + LAGGING_AVOID_MS
   if (error?.code === 'readOnly') context.findPrimaryAgain(group)
   const code = error?.code === 'lagging' || error?.code === 'readOnly' ? error.code : 'busy'
-  return createRetryRefusal(code, error?.text ?? 'the transaction could not be opened', RETRY_AFTER_MS) as OpenedTransaction
+  return createRetryRefusal(code, error?.text ?? 'the transaction could not be opened', RETRY_AFTER_MS)
 }
--- a/packages/gateway/src/statements/read-targets.ts
+++ b/packages/gateway/src/statements/read-targets.ts
@@ -30,7 +30,7 @@
   const required = findRequiredPosition(group.state, maxStalenessMs, nowMs)
   if (required === undefined) return findPrimaryTarget(group, maxStalenessMs, tried, nowMs)
   const { sessionPosition } = operation
-  const atLeast = sessionPosition === null ? required : pickLaterPosition(required, sessionPosition)
+  const atLeast = pickLaterPosition(sessionPosition, required)
   const candidates = listUsable(group, nowMs).filter(p => !tried.has(p.entry.endpoint)).map(p => describeCandidate(group, p, operation.workspace, location, nowMs))
   const pool = group.pools.get(selectEndpoint(candidates)?.endpoint ?? '')
   return pool === undefined ? 'none' : { pool, atLeast }
--- a/packages/gateway/src/statements/run-read.ts
+++ b/packages/gateway/src/statements/run-read.ts
@@ -1,4 +1,4 @@
-import { createRetryBudget, recordRequest, spendRetry, type RetryBudget } from '@camphorpitch/wire'
+import { createRetryBudget, describeError, recordRequest, spendRetry, type RetryBudget } from '@camphorpitch/wire'
 import type { EndpointAnswer } from '../backend/endpoint-connector.ts'
 import type { ErrorCode } from '../backend/statement.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
@@ -134,9 +134,8 @@
     context.logAttempt(operation, pool, atLeast, answer)
     return { kind: 'answered', answer, endpoint: pool.entry.endpoint }
   } catch (error) {
-    for (const r of restored) r.catch(() => {}) // Lost with the connection, which is reported below.
     pool.release(connection, false)
-    const reason = error instanceof Error ? error.message : String(error)
+    const reason = describeError(error)
     context.logLoss(operation, pool, reason)
     return { kind: 'unanswered', reason, code: 'timeout' }
   }
--- a/packages/gateway/src/statements/run-write.ts
+++ b/packages/gateway/src/statements/run-write.ts
@@ -1,3 +1,4 @@
+import { describeError } from '@camphorpitch/wire'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
 import { PoolError } from '../pool/errors.ts'
@@ -16,21 +17,21 @@
   const recoveryMs = context.estimateRecoveryMs(group)
   const waitMs = computeWaitMs(operation, clock.readNow())
   if (!group.isWritable && (recoveryMs > waitMs || !await group.waitUntil(() => group.isWritable, waitMs))) {
-    return createRetryRefusal('busy', 'the service has no primary now', context.estimateRecoveryMs(group)) as Acquired
+    return createRetryRefusal('busy', 'the service has no primary now', context.estimateRecoveryMs(group))
   }
   const pool = group.primaryPool
-  if (pool === undefined) return createRetryRefusal('busy', 'the service has no primary now', recoveryMs) as Acquired
+  if (pool === undefined) return createRetryRefusal('busy', 'the service has no primary now', recoveryMs)
   const { workspace, contents, route } = operation
   try {
     const connection = await pool.acquire({ workspace, session: contents.session, priority: route.priority, waitMs: computeWaitMs(operation, clock.readNow()) })
     if (!group.isWritable || group.primaryPool !== pool) {
       pool.release(connection, true)
-      return createRetryRefusal('busy', 'the primary is being replaced', context.estimateRecoveryMs(group)) as Acquired
+      return createRetryRefusal('busy', 'the primary is being replaced', context.estimateRecoveryMs(group))
     }
     return { pool, connection }
   } catch (error) {
     if (!(error instanceof PoolError)) throw error
-    return createRetryRefusal('busy', error.message, error.refusal === 'busy' ? BUSY_RETRY_MS : context.estimateRecoveryMs(group)) as Acquired
+    return createRetryRefusal('busy', error.message, error.refusal === 'busy' ? BUSY_RETRY_MS : context.estimateRecoveryMs(group))
   }
 }
 
@@ -50,9 +51,8 @@
     if (answer.error?.code === 'readOnly') context.findPrimaryAgain(group)
     return { answer, endpoint: pool.entry.endpoint }
   } catch (error) {
-    for (const r of restored) r.catch(() => {}) // Lost with the connection, which is reported below.
     pool.release(connection, false)
-    const reason = error instanceof Error ? error.message : String(error)
+    const reason = describeError(error)
     context.logLoss(operation, pool, reason)
     return { refusal: { code: 'inDoubt', text: reason } }
   }
--- a/packages/load/src/demo/step.ts
+++ b/packages/load/src/demo/step.ts
@@ -1,3 +1,4 @@
+import { describeError } from '@camphorpitch/wire'
 import { FleetError } from '../fleet/errors.ts'
 
 /** Milliseconds of one step and whether it held. */
@@ -24,7 +25,7 @@
       this.#print(title, performance.now() - startedMs, 'ok', detail)
     } catch (error) {
       this.#failed = true
-      this.#print(title, performance.now() - startedMs, 'FAILED', error instanceof Error ? error.message : String(error))
+      this.#print(title, performance.now() - startedMs, 'FAILED', describeError(error))
     }
   }
 
--- a/packages/load/src/experiment/run-experiment.ts
+++ b/packages/load/src/experiment/run-experiment.ts
@@ -1,5 +1,5 @@
 import { setTimeout as wait } from 'node:timers/promises'
-import { createSeededRandom } from '@camphorpitch/wire'
+import { createSeededRandom, describeError } from '@camphorpitch/wire'
 import { NaiveTarget } from '../baseline/naive-target.ts'
 import { createWorkspace } from '../demo/callers.ts'
 import { runFault } from '../faults/run-fault.ts'
@@ -121,7 +121,7 @@
       const value = await session.run(text).finally(() => session.close())
       return { value, error: null }
     } catch (error) {
-      if (performance.now() > endsAt) return { value: null, error: error instanceof Error ? error.message : String(error) }
+      if (performance.now() > endsAt) return { value: null, error: describeError(error) }
       await wait(RETRY_MS)
     }
   }
--- a/packages/load/src/scenarios/draw-scenario.ts
+++ b/packages/load/src/scenarios/draw-scenario.ts
@@ -8,7 +8,7 @@
 /** When the first fault may begin and how long the fleet has after the last one, in milliseconds. */
 const FIRST_AT_MS = 1_000
 const CALM_END_MS = 5_000
-/** Shortest and longest fault, in milliseconds: shorter than any time limit of the proxy, and longer than most. */
+/** Shortest and longest fault, in milliseconds: shorter than any timeout of the proxy, and longer than most. */
 const SHORTEST_MS = 150
 const LONGEST_MS = 3_500
 const LONGEST_DELAY_MS = 60
--- a/packages/proxy/src/pool/instance-pool.ts
+++ b/packages/proxy/src/pool/instance-pool.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Database, type Endpoint, type Logger, type SliceActor, spawnSlice, TOO_MANY_CONNECTIONS_ERRNO } from '@camphorpitch/wire'
+import { describeError, spawnSlice, TOO_MANY_CONNECTIONS_ERRNO, type Clock, type Database, type Endpoint, type Logger, type SliceActor } from '@camphorpitch/wire'
 import type { ActorSystemRef } from 'nact'
 import { decidePool } from './decide-pool.ts'
 import { openEndpointConnection, type EndpointConnection } from './endpoint-connection.ts'
@@ -143,7 +143,7 @@
       this.#connections.set(id, connection)
       this.#slice.tell({ type: 'opened', connection: id })
     } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error)
+      const reason = describeError(error)
       const errno = readErrno(error)
       logger.warn('connection refused', { database: database.database, endpoint: endpoint.endpoint, reason, errno })
       this.#slice.tell({ type: 'openFailed', connection: id, reason, isLimitReached: errno === TOO_MANY_CONNECTIONS_ERRNO })
--- a/packages/proxy/src/retries/run-named-write.ts
+++ b/packages/proxy/src/retries/run-named-write.ts
@@ -1,4 +1,4 @@
-import { type AnswerFrame, type Cell, type LogPosition, parseCommitInfo, recordRequest, type Refusal, spendRetry } from '@camphorpitch/wire'
+import { describeError, parseCommitInfo, recordRequest, spendRetry, type AnswerFrame, type Cell, type LogPosition, type Refusal } from '@camphorpitch/wire'
 import type { EndpointConnection } from '../pool/endpoint-connection.ts'
 import type { ResultHeader, ResultPart } from '../pool/part-queue.ts'
 import { confirmCommit, confirmVisible } from '../serving/confirm-position.ts'
@@ -35,10 +35,6 @@
 
 let namedWrites = 0
 
-function describeError (error: unknown): string {
-  return error instanceof Error ? error.message : String(error)
-}
-
 function answer (frame: AnswerFrame): Attempt {
   return { kind: 'answer', frame }
 }
--- a/packages/proxy/src/serving/run-read.ts
+++ b/packages/proxy/src/serving/run-read.ts
@@ -1,4 +1,4 @@
-import { type AnswerFrame, recordRequest, spendRetry } from '@camphorpitch/wire'
+import { describeError, recordRequest, spendRetry, type AnswerFrame } from '@camphorpitch/wire'
 import type { ReadTarget } from '../routing/select-read-target.ts'
 import { isNotRunError } from '../retries/classify-failure.ts'
 import { confirmReplica, confirmVisible } from './confirm-position.ts'
@@ -18,10 +18,6 @@
 /** A result of this many frames is held until it is confirmed, so that the read can be repeated without the caller seeing two answers. */
 const MAX_HELD_FRAMES = 2
 
-function describeError (error: unknown): string {
-  return error instanceof Error ? error.message : String(error)
-}
-
 function confirmRead (context: ServingContext, request: AcceptedRequest, target: InstanceTarget) {
   const confirm = target.isPrimary ? confirmVisible : confirmReplica
   return confirm(context, request, target.endpoint)
--- a/packages/proxy/src/serving/run-write.ts
+++ b/packages/proxy/src/serving/run-write.ts
@@ -1,4 +1,4 @@
-import { type AnswerFrame, parseCommitInfo, recordRequest, spendRetry } from '@camphorpitch/wire'
+import { describeError, parseCommitInfo, recordRequest, spendRetry, type AnswerFrame } from '@camphorpitch/wire'
 import type { ResultHeader, ResultPart } from '../pool/part-queue.ts'
 import { isNotRunError } from '../retries/classify-failure.ts'
 import { confirmCommit, confirmVisible } from './confirm-position.ts'
@@ -57,7 +57,7 @@
     }
     return 'answered'
   } catch (error) {
-    yield makeRefusal('outcomeUnknown', error instanceof Error ? error.message : String(error))
+    yield makeRefusal('outcomeUnknown', describeError(error))
     return 'answered'
   }
 }
--- a/packages/proxy/src/session/state.ts
+++ b/packages/proxy/src/session/state.ts
@@ -37,7 +37,7 @@
 /** Raises the session's position in a database; it never goes back. */
 export function recordPosition (session: SessionState, database: string, position: LogPosition): void {
   const known = session.positions.get(database)
-  session.positions.set(database, known === undefined ? position : pickLaterPosition(known, position))
+  session.positions.set(database, pickLaterPosition(known, position))
 }
 
 /**
--- a/packages/proxy/src/transactions/run-transaction.ts
+++ b/packages/proxy/src/transactions/run-transaction.ts
@@ -1,4 +1,4 @@
-import { type AnswerFrame, type Endpoint, type LogPosition, parseCommitInfo, recordRequest, spendRetry } from '@camphorpitch/wire'
+import { describeError, parseCommitInfo, recordRequest, spendRetry, type AnswerFrame, type Endpoint, type LogPosition } from '@camphorpitch/wire'
 import type { ResultHeader, ResultPart } from '../pool/part-queue.ts'
 import { isNotRunError } from '../retries/classify-failure.ts'
 import { confirmCommit, confirmVisible } from '../serving/confirm-position.ts'
@@ -13,10 +13,6 @@
 const IDLE_CHECK_MS = 5_000
 const RETRY_WAIT_MS = 50
 
-function describeError (error: unknown): string {
-  return error instanceof Error ? error.message : String(error)
-}
-
 /** Whether a lost answer leaves open if the transaction was committed. */
 function isCommitInDoubt (request: AcceptedRequest): boolean {
   if (request.class === 'commit') return true
--- a/packages/standins/src/endpoint/engine.ts
+++ b/packages/standins/src/endpoint/engine.ts
@@ -1,4 +1,5 @@
 import initSqlJs, { type Database, type SqlJsStatic, type Statement } from 'sql.js'
+import { describeError } from '@camphorpitch/wire'
 import { convertToEngine } from './dialect.ts'
 import { createStatementError, StatementError, UNKNOWN_ERRNO } from './errors.ts'
 import { buildResultSet, type ResultSet } from './result-set.ts'
@@ -25,7 +26,7 @@
 ]
 
 function convertError (cause: unknown): Error {
-  const message = cause instanceof Error ? cause.message : String(cause)
+  const message = describeError(cause)
   const errno = errnoByMessage.find(([pattern]) => pattern.test(message))?.[1] ?? UNKNOWN_ERRNO
   return createStatementError(errno, message, cause)
 }
--- a/packages/standins/src/endpoint/mysql-connection.ts
+++ b/packages/standins/src/endpoint/mysql-connection.ts
@@ -1,4 +1,4 @@
-import { formatCommitInfo } from '@camphorpitch/wire'
+import { describeError, formatCommitInfo } from '@camphorpitch/wire'
 import type { EventEmitter } from 'node:events'
 import type { Socket } from 'node:net'
 import { createStatementError, StatementError, UNKNOWN_ERRNO } from './errors.ts'
@@ -98,7 +98,7 @@
 export function sendError (connection: ServerConnection, error: unknown): void {
   if (connection.stream.destroyed) return
   const code = error instanceof StatementError ? Number(error.errno) : UNKNOWN_ERRNO
-  const message = error instanceof Error ? error.message : String(error)
+  const message = describeError(error)
   connection.writeError({ code, message: message.replace(/[^\x20-\x7e]/g, '?') })
   connection.sequenceId = 0
 }
--- a/packages/wire/src/database/position.ts
+++ b/packages/wire/src/database/position.ts
@@ -48,9 +48,13 @@
   return a.term - b.term || a.index - b.index
 }
 
-/** @example pickLaterPosition({ term: 1, index: 9 }, { term: 2, index: 3 }) // { term: 2, index: 3 } */
-export function pickLaterPosition (a: LogPosition, b: LogPosition): LogPosition {
-  return comparePositions(a, b) >= 0 ? a : b
+/**
+ * Picks the later of two positions; the first may be unknown.
+ *
+ * @example pickLaterPosition({ term: 1, index: 9 }, { term: 2, index: 3 }) // { term: 2, index: 3 }
+ */
+export function pickLaterPosition (a: LogPosition | null | undefined, b: LogPosition): LogPosition {
+  return a !== null && a !== undefined && comparePositions(a, b) >= 0 ? a : b
 }
 
 /**
