Abort a promotion whose view of the primary is out of date

What callers saw: commits that had been acknowledged were missing after a change of the primary (LOST).

Cause: a VM that had not learned of another VM's promotion claimed the duty and fenced at a term that was not above the group's newest, so PAUSE had no effect. The replaced primary answered STEPDOWN as the replica that it already was, was counted as "old primary stepped down", and its log as complete. It, or a replica at its position, was promoted without the commits that the actual primary had acknowledged since. In a planned change the position of any replica passed as "caught up", whatever its term. Class of fault: a result taken as proof without checking that the request was what caused it.

Fix: the fence has to prove itself. - An answer that shows a term or a pause which the attempt's term is not above, or another primary of a later term, ends the attempt. The primary found is recorded, or the known one reset, so that the next attempt starts from there. - The old primary counts only if it reported to be primary right before it stepped down; if it was a replica, it is fenced as one. - Confirmations of a revocation carry the primary that the VM knows; one of a later term ends the attempt. - With the old primary stepped down, at most one replica may be silent: with two, one may have been promoted and the other follow it. In a planned change this is checked before the primary steps down.

Refused now: an attempt for a primary that has been replaced; a planned change with two silent replicas. Operators see `promotion attempt failed` with the endpoint or VM that reported the later term. A crash of the primary with reachable replicas needs no more calls than before; a planned change needs two status requests more.

Tests: promotion-safety.test.ts runs runPromotion, the claims and the messages between VMs against a simulated group in virtual time.

--- a/packages/gateway/src/failover/decide-promotion.ts
+++ b/packages/gateway/src/failover/decide-promotion.ts
@@ -75,6 +75,12 @@
   isOldPrimary: boolean
 }
 
+/**
+ * Number of replicas that may be unfenced if the old primary has stepped down. With two, one may have been promoted unnoticed and
+ * the other may receive its commits.
+ */
+export const MAX_UNFENCED_BESIDE_PRIMARY = 1
+
 export interface CandidateOptions {
   fenced: readonly FencedEndpoint[]
   /** Number of the group's replicas that could not be fenced. */
@@ -98,7 +104,7 @@
   const hasOldPrimary = fenced.some(f => f.isOldPrimary)
   const latest = fenced.reduce<LogPosition | null>((max, f) => max === null || comparePositions(f.received, max) > 0 ? f.received : max, null)
   if (latest === null) return undefined
-  const hasEveryCommit = hasOldPrimary || (unfencedReplicas === 0 && fenced.every(f => f.ageMs >= RECENT_START_MS))
+  const hasEveryCommit = (hasOldPrimary && unfencedReplicas <= MAX_UNFENCED_BESIDE_PRIMARY) || (unfencedReplicas === 0 && fenced.every(f => f.ageMs >= RECENT_START_MS))
   const hasKnownCommits = hasEveryVmConfirmed && acknowledged !== null && comparePositions(latest, acknowledged) >= 0
   if (!hasEveryCommit && !hasKnownCommits) return undefined
   const mostAdvanced = fenced.filter(f => comparePositions(f.received, latest) === 0)
--- /dev/null
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -0,0 +1,72 @@
+import { expect } from 'chai'
+import { SimulatedFleet, type SimulatedVm } from '../testing/simulated-vm.ts'
+import type { PromotionReason } from './decide-promotion.ts'
+
+describe('promotion', () => {
+  let fleet: SimulatedFleet
+
+  beforeEach(() => { fleet = new SimulatedFleet(['p', 'a', 'b']) })
+  afterEach(() => fleet.time.stop())
+
+  it('promotes the most advanced replica after a crash of the primary', async () => {
+    const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+    for (const vm of [vm1, vm2]) vm.addEndpoints()
+    fleet.group.find('b').isDeaf = true
+    vm1.commit()
+    await fleet.advance(50)
+    fleet.group.find('p').isRunning = false
+    const promoted = vm2.promote('primary lost')
+    await fleet.advance(3_000)
+    expect(await promoted).to.equal('a')
+    expect(fleet.group.lost).to.deep.equal([])
+    expect(vm1.group.state.primary).to.deep.equal({ endpoint: 'a', term: 2 })
+  })
+
+  describe('by a VM that has not learned of an earlier promotion', () => {
+    /** `p` has been replaced by `a`, which vm2 does not know. Clients of vm1 commit at `a` throughout, and the commits reach only one of `p` and `b`. */
+    async function promoteWithStaleView (reason: PromotionReason, isolate: (vm1: SimulatedVm, vm2: SimulatedVm) => void): Promise<string | null> {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      vm1.commit()
+      vm2.commit()
+      await fleet.advance(50)
+      fleet.group.promote('a')
+      await fleet.advance(1_500)
+      vm1.group.adoptPrimary('a', 2, 'test')
+      isolate(vm1, vm2)
+      const promoted = vm2.promote(reason)
+      for (let i = 0; i < 400; i++) {
+        const isOrdered = vm2.orders.length > 0
+        Object.assign(fleet.group.find('p'), { isDeaf: isOrdered })
+        Object.assign(fleet.group.find('b'), { isDeaf: !isOrdered })
+        vm1.commit()
+        await fleet.advance(20)
+      }
+      return await promoted
+    }
+
+    for (const reason of ['primary lost', 'primary draining'] as const) {
+      it(`loses no commit acknowledged since then, reason ${reason}`, async () => {
+        const promoted = await promoteWithStaleView(reason, () => {})
+        expect(fleet.group.lost).to.deep.equal([])
+        expect(promoted).to.equal(null)
+        expect(fleet.vms.get('vm2')!.group.state.primary).to.deep.equal({ endpoint: 'a', term: 2 })
+      })
+
+      it(`loses none if it does not reach the new primary, reason ${reason}`, async () => {
+        const promoted = await promoteWithStaleView(reason, (_vm1, vm2) => vm2.connector.unreachable.add('a'))
+        expect(fleet.group.lost).to.deep.equal([])
+        expect(promoted).to.equal(null)
+      })
+
+      it(`loses none if it reaches neither the new primary nor the VM that knows it, reason ${reason}`, async () => {
+        const promoted = await promoteWithStaleView(reason, (vm1, vm2) => {
+          vm2.connector.unreachable.add('a')
+          vm1.unreachableVms.add('vm2')
+        })
+        expect(fleet.group.lost).to.deep.equal([])
+        expect(promoted).to.equal(null)
+      })
+    }
+  })
+})
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -2,11 +2,11 @@
 import type { EndpointStatus } from '../backend/endpoint-connector.ts'
 import type { Promoter } from '../backend/promoter.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { LEADER_LEASE_MS } from '../freshness/group-state.ts'
+import { LEADER_LEASE_MS, type KnownPrimary } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import type { ControlCommand, ControlConnections } from './control-connections.ts'
-import { pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
+import { MAX_UNFENCED_BESIDE_PRIMARY, pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
 import type { Claim, DutyClaims } from './duty-claim.ts'
 
 /** Time that the VMs have to confirm that they revoked the primary's leadership. */
@@ -28,6 +28,8 @@
   hasEveryVmConfirmed: boolean
   /** Latest position that any of the VMs that confirmed knows to be acknowledged; `null` if none knows one. */
   acknowledged: LogPosition | null
+  /** Primary of the latest term that any of the VMs that confirmed knows; `null` if none knows one. */
+  latestPrimary: KnownPrimary | null
 }
 
 /** What a promotion needs from the VM that runs it. */
@@ -52,6 +54,8 @@
   group: ServiceGroup
   reason: PromotionReason
   claim: Claim
+  /** The primary that this VM knew when the attempt began. */
+  knownPrimary: KnownPrimary | null
   /** Term at which the endpoints are fenced; once the new primary is known, its term. */
   term: number
   oldPrimary: EndpointEntry | undefined
@@ -79,7 +83,8 @@
   }
   const entries = [...group.pools.values()].map(p => p.entry)
   const oldPrimary = entries.find(e => e.endpoint === group.state.primary?.endpoint)
-  const attempt: Attempt = { host, group, reason, claim, oldPrimary, replicas: entries.filter(e => e !== oldPrimary), leadershipVerifiedAtMs: -Infinity, term: (group.state.primary?.term ?? 0) + 1 }
+  const knownPrimary = group.state.primary === null ? null : { ...group.state.primary }
+  const attempt: Attempt = { host, group, reason, claim, knownPrimary, oldPrimary, replicas: entries.filter(e => e !== oldPrimary), leadershipVerifiedAtMs: -Infinity, term: (knownPrimary?.term ?? 0) + 1 }
   host.logger.warn('promotion started', { service: group.service, reason, oldPrimary: oldPrimary?.endpoint, term: attempt.term, fencingToken: claim.fencingToken })
   let promoted: string | null = null
   try {
@@ -100,35 +105,98 @@
   const fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
   const fencedAtMs = host.clock.readNow()
   const revocation = await pendingRevocation
+  ensureLatestPrimary(attempt, revocation.latestPrimary)
   if (!revocation.hasEveryVmConfirmed) await waitForLeases(attempt, fencedAtMs)
-  const unfencedReplicas = isPlanned ? 0 : attempt.replicas.length - fenced.filter(f => !f.isOldPrimary).length
-  const candidate = pickCandidate({ fenced, unfencedReplicas, ...revocation })
-  host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, fenced, unfencedReplicas, ...revocation })
+  const { endpoints, unfencedReplicas } = fenced
+  const candidate = pickCandidate({ fenced: endpoints, unfencedReplicas, ...revocation })
+  host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: endpoints, unfencedReplicas, ...revocation })
   if (candidate === undefined) return null
   return await requestPromotion(attempt, candidate.endpoint)
 }
 
-/** Sets a term that no replica has seen yet, in case the primary's term is unknown because the primary has not responded so far. */
+/** Sets a term that no endpoint has seen yet, in case the primary's term is unknown because the primary has not responded so far. */
 async function updateTerm (attempt: Attempt): Promise<void> {
   if (attempt.term > 1) return
-  const statuses = await runOnAll(attempt, attempt.replicas, async c => await c.readStatus())
+  const { oldPrimary, replicas } = attempt
+  const statuses = await runOnAll(attempt, oldPrimary === undefined ? replicas : [...replicas, oldPrimary], async c => await c.readStatus())
   attempt.term = Math.max(1, ...statuses.map(({ status }) => Math.max(status.term, status.pausedForTerm) + 1))
+  ensureNotReplaced(attempt, statuses)
+  if (statuses.some(({ entry, status }) => entry === oldPrimary && status.role === 'replica')) addOldPrimaryToReplicas(attempt)
+}
+
+/** Counts the endpoint that was taken for the primary among the replicas. */
+function addOldPrimaryToReplicas (attempt: Attempt): void {
+  if (attempt.oldPrimary !== undefined) attempt.replicas = [...attempt.replicas, attempt.oldPrimary]
+  attempt.oldPrimary = undefined
+}
+
+/**
+ * Checks that no endpoint has a newer term or follows a primary other than the one to be replaced: then another VM has
+ * replaced it, and fencing at the attempt's term has no effect. Records the primary that leads.
+ *
+ * @throws Error if there is one
+ */
+function ensureNotReplaced ({ group, term, knownPrimary, oldPrimary }: Attempt, statuses: readonly EndpointResult[]): void {
+  const leading = statuses.find(({ entry, status }) => status.role === 'primary' && status.term > (knownPrimary?.term ?? 0) && (entry !== oldPrimary || status.term >= term))
+  if (leading !== undefined) group.adoptPrimary(leading.entry.endpoint, leading.status.term, 'promotion attempt')
+  const newer = statuses.find(({ status }) => status.pausedForTerm > term || (status.term >= term && status.pausedForTerm < term))
+  if (leading === undefined && newer === undefined) return
+  if (leading === undefined && group.state.primary?.term === knownPrimary?.term) group.resetPrimary()
+  const { entry, status } = leading ?? newer!
+  throw new Error(`the primary to be replaced no longer leads: ${entry.endpoint} reports role ${status.role}, term ${status.term}, paused for term ${status.pausedForTerm}; this attempt has term ${term}`)
+}
+
+/**
+ * Checks that no VM knows a later primary than the one to be replaced, and records it otherwise.
+ *
+ * @throws Error if one does
+ */
+function ensureLatestPrimary ({ group, knownPrimary }: Attempt, latest: KnownPrimary | null): void {
+  if (latest === null || latest.endpoint === knownPrimary?.endpoint || latest.term <= (knownPrimary?.term ?? 0)) return
+  group.adoptPrimary(latest.endpoint, latest.term, 'promotion attempt')
+  throw new Error(`the primary to be replaced no longer leads: another VM knows ${latest.endpoint} as primary of term ${latest.term}`)
+}
+
+/** The endpoints that receive nothing more from the old primary. */
+interface FencedGroup {
+  endpoints: FencedEndpoint[]
+  /** Number of replicas that may still receive from it or from a primary that is not known. */
+  unfencedReplicas: number
 }
 
 /**
  * Pauses the replicas, so that they receive nothing more from the old primary. If some can't be paused, the old primary counts
- * as well, if it has stepped down on request.
+ * as well, if it steps down on request.
  */
-async function fenceReplicas (attempt: Attempt): Promise<FencedEndpoint[]> {
-  const { host, oldPrimary, replicas, term } = attempt
-  const steppingDown = oldPrimary === undefined ? Promise.resolve([]) : runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
+async function fenceReplicas (attempt: Attempt): Promise<FencedGroup> {
+  const { host, replicas, term } = attempt
+  const pendingDemotion = demoteOldPrimary(attempt)
+  pendingDemotion.catch(() => {}) // Its result is needed only if a replica could not be paused.
   const paused = await runOnAll(attempt, replicas, async c => await c.pause(term))
+  ensureNotReplaced(attempt, paused)
   const isPaused = (s: EndpointStatus): boolean => s.role === 'replica' && s.pausedForTerm >= term
-  const fenced = paused.filter(({ status }) => isPaused(status)).map(({ entry, status }) => describeFenced(entry, status, false))
-  if (fenced.length === replicas.length) return fenced
+  const endpoints = paused.filter(({ status }) => isPaused(status)).map(({ entry, status }) => describeFenced(entry, status, false))
+  const unfencedReplicas = replicas.length - endpoints.length
+  if (unfencedReplicas === 0) return { endpoints, unfencedReplicas }
   host.logger.info('not all replicas fenced', { service: attempt.group.service, term, responses: paused.map(p => ({ endpoint: p.entry.endpoint, ...p.status })) })
-  const steppedDown = await steppingDown
-  return [...fenced, ...steppedDown.filter(({ status }) => status.role === 'replica').map(({ entry, status }) => describeFenced(entry, status, true))]
+  return { endpoints: [...endpoints, ...await pendingDemotion], unfencedReplicas }
+}
+
+/**
+ * Has the old primary step down. An endpoint that already was a replica is treated as one, since its log may lack commits.
+ *
+ * @returns the old primary, or an empty list if it did not step down
+ */
+async function demoteOldPrimary (attempt: Attempt): Promise<FencedEndpoint[]> {
+  const { oldPrimary, term } = attempt
+  if (oldPrimary === undefined) return []
+  const before = await runOnAll(attempt, [oldPrimary], async c => await c.readStatus())
+  ensureNotReplaced(attempt, before)
+  if (before[0]?.status.role === 'replica') addOldPrimaryToReplicas(attempt)
+  if (before[0]?.status.role !== 'primary') return []
+  const after = await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
+  ensureNotReplaced(attempt, after)
+  return after.filter(({ status }) => status.role === 'replica').map(({ entry, status }) => describeFenced(entry, status, true))
 }
 
 /**
@@ -136,18 +204,20 @@
  *
  * @returns the replicas that hold the whole log, and the old primary; empty if it did not step down
  */
-async function fencePlannedChange (attempt: Attempt): Promise<FencedEndpoint[]> {
-  const { host, oldPrimary, replicas, term } = attempt
-  if (oldPrimary === undefined) return []
-  const [steppedDown] = await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
-  if (steppedDown === undefined || steppedDown.status.role !== 'replica') return []
-  const { received } = steppedDown.status
+async function fencePlannedChange (attempt: Attempt): Promise<FencedGroup> {
+  const { host, replicas } = attempt
+  const followers = await runOnAll(attempt, replicas, async c => await c.readStatus())
+  ensureNotReplaced(attempt, followers)
+  if (replicas.length - followers.length > MAX_UNFENCED_BESIDE_PRIMARY) return { endpoints: [], unfencedReplicas: replicas.length - followers.length }
+  const [steppedDown] = await demoteOldPrimary(attempt)
+  if (steppedDown === undefined) return attempt.oldPrimary === undefined ? await fenceReplicas(attempt) : { endpoints: [], unfencedReplicas: replicas.length }
   const deadlineMs = host.clock.readNow() + CATCH_UP_TIMEOUT_MS
   for (;;) {
     const statuses = await runOnAll(attempt, replicas, async c => await c.readStatus())
-    const caughtUp = statuses.filter(({ status }) => comparePositions(status.received, received) >= 0).map(({ entry, status }) => describeFenced(entry, status, false))
-    if (caughtUp.length > 0) return [...caughtUp, describeFenced(oldPrimary, steppedDown.status, true)]
-    if (host.clock.readNow() >= deadlineMs) return [describeFenced(oldPrimary, steppedDown.status, true)]
+    ensureNotReplaced(attempt, statuses)
+    const caughtUp = statuses.filter(({ status }) => comparePositions(status.received, steppedDown.received) >= 0).map(({ entry, status }) => describeFenced(entry, status, false))
+    const unfencedReplicas = replicas.length - statuses.length
+    if (caughtUp.length > 0 || host.clock.readNow() >= deadlineMs) return { endpoints: [...caughtUp, steppedDown], unfencedReplicas }
     await waitFor(RETRY_DELAY_MS)
   }
 }
@@ -210,8 +280,10 @@
   await host.claims.release(claim)
 }
 
+interface EndpointResult { entry: EndpointEntry, status: EndpointStatus }
+
 /** Runs a command on several endpoints at once. @returns the statuses of those that responded */
-async function runOnAll (attempt: Attempt, entries: readonly EndpointEntry[], command: ControlCommand): Promise<Array<{ entry: EndpointEntry, status: EndpointStatus }>> {
+async function runOnAll (attempt: Attempt, entries: readonly EndpointEntry[], command: ControlCommand): Promise<EndpointResult[]> {
   const results = await Promise.all(entries.map(async entry => ({ entry, status: await runWithRetries(attempt, entry, command) })))
   return results.flatMap(({ entry, status }) => status === null ? [] : [{ entry, status }])
 }
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -13,7 +13,7 @@
 import { applyGroupReport, createGroupReport } from './group-reports.ts'
 import { listRecentlyResponsive, listPossiblyRunning, type MemberState } from './members.ts'
 import { decodeGroupReport, encodeGroupReport, type FleetMessage, type Report, type VmEntry } from './message-schemas.ts'
-import { addLocalPosition, RevocationCollector } from './revocations.ts'
+import { addConfirmation, RevocationCollector } from './revocations.ts'
 
 /** Number of polls after a start that carry the sender's VM entry, for VMs that do not know it yet. */
 const INTRODUCTORY_POLL_COUNT = 20
@@ -112,7 +112,7 @@
   }
 
   #handleMessage (vm: string, message: FleetMessage): void {
-    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, message.acknowledged)
+    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null })
     else if (message.type === 'promoted') this.#handlePromotionOutcome(vm, message)
     else if (message.type === 'permit') this.#fleet?.send(vm, this.#options.quotas.decidePermit(message))
     else if (message.type === 'configurationWanted') this.#sendConfiguration(vm)
@@ -135,7 +135,7 @@
       this.#options.logger.info('verified leadership revoked at the request of another vm', { service, endpoint, term, requestedBy: vm })
       await this.#revokeLocalLeadership(group, endpoint, term, isPlanned)
     }
-    this.#fleet?.send(vm, { type: 'revoked', service, attempt, acknowledged: group?.state.acknowledged ?? undefined })
+    this.#fleet?.send(vm, { type: 'revoked', service, attempt, acknowledged: group?.state.acknowledged ?? undefined, primary: group?.state.primary ?? undefined })
   }
 
   async #revokeLocalLeadership (group: ServiceGroup, endpoint: string, term: number, isPlanned: boolean): Promise<void> {
@@ -151,7 +151,7 @@
     const confirmations = this.#revocations.collect(attempt, vms, waitMs)
     for (const vm of vms) this.#fleet?.send(vm, { type: 'revoke', service: group.service, endpoint, term, attempt, isPlanned })
     await this.#revokeLocalLeadership(group, endpoint, term, isPlanned)
-    return addLocalPosition(await confirmations, group.state.acknowledged)
+    return addConfirmation(await confirmations, group.state)
   }
 
   #publishPromotionOutcome (group: ServiceGroup, endpoint: string | null, term: number, leadershipVerifiedAtMs: number): void {
--- a/packages/gateway/src/fleet/message-schemas.ts
+++ b/packages/gateway/src/fleet/message-schemas.ts
@@ -99,7 +99,9 @@
   service: z.string(),
   attempt: z.string(),
   /** Latest position that the sender knows to be acknowledged. */
-  acknowledged: logPositionSchema.optional()
+  acknowledged: logPositionSchema.optional(),
+  /** The primary that the sender knows, and its term. */
+  primary: z.object({ endpoint: z.string(), term: z.number().int() }).optional()
 })
 /** A promoting VM announces the outcome of its attempt. */
 export const promotedSchema = z.object({
--- a/packages/gateway/src/fleet/revocations.ts
+++ b/packages/gateway/src/fleet/revocations.ts
@@ -1,16 +1,27 @@
 import { pickLaterPosition, type LogPosition } from '@camphorpitch/wire'
 import type { Revocation } from '../failover/run-promotion.ts'
+import type { KnownPrimary } from '../freshness/group-state.ts'
 
-interface PendingRevocation {
-  unconfirmedVms: Set<string>
+/** What a VM knows of a group when it confirms a revocation. */
+export interface Confirmation {
+  /** Latest position that the VM knows to be acknowledged. */
   acknowledged: LogPosition | null
+  primary: KnownPrimary | null
+}
+
+interface PendingRevocation extends Omit<Revocation, 'hasEveryVmConfirmed'> {
+  unconfirmedVms: Set<string>
   finish: () => void
 }
 
-/** Adds the position that this VM knows to be acknowledged to the positions that the others have confirmed with. */
-export function addLocalPosition (revocation: Revocation, acknowledged: LogPosition | null): Revocation {
-  if (acknowledged === null) return revocation
-  return { ...revocation, acknowledged: pickLaterPosition(revocation.acknowledged, acknowledged) }
+/** Adds what a VM knows to what the others have confirmed with. */
+export function addConfirmation<T extends Omit<Revocation, 'hasEveryVmConfirmed'>> (revocation: T, { acknowledged, primary }: Confirmation): T {
+  const isLater = primary !== null && primary.term > (revocation.latestPrimary?.term ?? -1)
+  return {
+    ...revocation,
+    acknowledged: acknowledged === null ? revocation.acknowledged : pickLaterPosition(revocation.acknowledged, acknowledged),
+    latestPrimary: isLater ? primary : revocation.latestPrimary
+  }
 }
 
 /** Collects the confirmations of other VMs that they have revoked a primary's verified leadership. */
@@ -19,7 +30,7 @@
 
   /** Waits until all VMs have confirmed an attempt, at most for `waitMs` milliseconds. */
   async collect (attempt: string, vms: readonly string[], waitMs: number): Promise<Revocation> {
-    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, finish: () => {} }
+    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, latestPrimary: null, finish: () => {} }
     this.#pending.set(attempt, revocation)
     await new Promise<void>(resolve => {
       const timer = setTimeout(resolve, waitMs)
@@ -30,15 +41,16 @@
       if (vms.length === 0) revocation.finish()
     })
     this.#pending.delete(attempt)
-    return { hasEveryVmConfirmed: revocation.unconfirmedVms.size === 0, acknowledged: revocation.acknowledged }
+    const { acknowledged, latestPrimary } = revocation
+    return { hasEveryVmConfirmed: revocation.unconfirmedVms.size === 0, acknowledged, latestPrimary }
   }
 
   /** Records a VM's confirmation; one for an attempt that is not being collected is ignored. */
-  confirm (attempt: string, vm: string, acknowledged: LogPosition | undefined): void {
+  confirm (attempt: string, vm: string, confirmation: Confirmation): void {
     const revocation = this.#pending.get(attempt)
     if (revocation === undefined) return
     revocation.unconfirmedVms.delete(vm)
-    if (acknowledged !== undefined) revocation.acknowledged = pickLaterPosition(revocation.acknowledged, acknowledged)
+    Object.assign(revocation, addConfirmation(revocation, confirmation))
     if (revocation.unconfirmedVms.size === 0) revocation.finish()
   }
 }
--- /dev/null
+++ b/packages/gateway/src/testing/simulated-group.ts
@@ -0,0 +1,166 @@
+import { comparePositions, zeroPosition, type LogPosition } from '@camphorpitch/wire'
+import type { EndpointStatus } from '../backend/endpoint-connector.ts'
+import { EndpointConnector, type EndpointConnection } from '../backend/endpoint-connector.ts'
+import { ConnectionLostError } from '../backend/errors.ts'
+import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+
+const CONTROL_DELAY_MS = 4
+/** Time for which a primary continues to lead after another endpoint was promoted. */
+const OLD_PRIMARY_DEMOTION_MS = 1_000
+
+/** An endpoint of a simulated group. A test changes its faults while it runs. */
+export class SimulatedEndpoint {
+  readonly endpoint: string
+  role: 'primary' | 'replica' = 'replica'
+  term = 1
+  pausedForTerm = 0
+  log: LogPosition[] = []
+  isRunning = true
+  /** Whether it receives nothing from its primary. */
+  isDeaf = false
+  isDraining = false
+  startedAtMs = Date.now() - 60_000
+
+  constructor (endpoint: string) {
+    this.endpoint = endpoint
+  }
+
+  get received (): LogPosition {
+    return this.log.at(-1) ?? zeroPosition
+  }
+
+  get entry (): EndpointEntry {
+    return { endpoint: this.endpoint, service: 's', address: `127.0.0.1:${this.endpoint}`, failureDomain: 'north', role: this.role, isDraining: this.isDraining, slots: 3, warmupLeftMs: 0, startedAtMs: this.startedAtMs }
+  }
+
+  hasReceived (position: LogPosition): boolean {
+    return this.log.some(p => comparePositions(p, position) === 0)
+  }
+
+  readStatus (): EndpointStatus {
+    return { role: this.role, term: this.term, received: this.received, pausedForTerm: this.pausedForTerm, lagMs: 0 }
+  }
+
+  pause (term: number): void {
+    if (this.role === 'replica' && term > Math.max(this.term, this.pausedForTerm)) this.pausedForTerm = term
+  }
+
+  demote (term: number): void {
+    if (this.role === 'primary' && term > this.term) this.role = 'replica'
+  }
+
+  /** Receives up to `count` entries of the primary's log, after it has dropped entries that the primary lacks. */
+  follow (primary: SimulatedEndpoint, count: number): void {
+    if (primary.term > this.term) {
+      const firstOther = this.log.findIndex(p => !primary.hasReceived(p))
+      if (firstOther >= 0) this.log.length = firstOther
+      this.term = primary.term
+      this.pausedForTerm = 0
+    }
+    this.log.push(...primary.log.slice(this.log.length, this.log.length + count))
+  }
+
+  /** Starts again with an empty log, as the same endpoint. */
+  startAgain (): void {
+    Object.assign(this, { role: 'replica', pausedForTerm: 0, log: [], isRunning: true, startedAtMs: Date.now() })
+  }
+}
+
+interface PendingCommit { primary: SimulatedEndpoint, position: LogPosition, handleAcknowledged: (position: LogPosition) => boolean }
+
+/** A group of endpoints whose commits are acknowledged once one replica has received them. */
+export class SimulatedGroup {
+  readonly endpoints = new Map<string, SimulatedEndpoint>()
+  /** Positions of the commits that were acknowledged to a client. */
+  readonly acknowledged: LogPosition[] = []
+  /** Descriptions of acknowledged commits that an endpoint lacked when it was promoted. */
+  readonly lost: string[] = []
+  #pendingCommits: PendingCommit[] = []
+
+  constructor (names: readonly string[]) {
+    for (const name of names) this.endpoints.set(name, new SimulatedEndpoint(name))
+    this.find(names[0]!).role = 'primary'
+  }
+
+  find (name: string): SimulatedEndpoint {
+    const found = this.endpoints.get(name)
+    if (found === undefined) throw new Error(`no endpoint ${name}`)
+    return found
+  }
+
+  /** The running primary of the latest term. */
+  get leader (): SimulatedEndpoint | undefined {
+    return [...this.endpoints.values()].filter(e => e.isRunning && e.role === 'primary').sort((a, b) => b.term - a.term)[0]
+  }
+
+  /** Commits a write at the endpoint. `handleAcknowledged` tells whether the client receives the acknowledgement. */
+  commit (primary: SimulatedEndpoint, handleAcknowledged: PendingCommit['handleAcknowledged']): void {
+    if (!primary.isRunning || primary.role !== 'primary') return
+    const position = { term: primary.term, index: primary.received.index + 1 }
+    primary.log.push(position)
+    this.#pendingCommits.push({ primary, position, handleAcknowledged })
+  }
+
+  /** Replicates entries, at most `count` to each replica, and acknowledges the commits that a replica has received. */
+  runReplication (count = Infinity): void {
+    const running = [...this.endpoints.values()].filter(e => e.isRunning)
+    const primaries = running.filter(e => e.role === 'primary').sort((a, b) => b.term - a.term)
+    for (const replica of running.filter(e => e.role === 'replica' && !e.isDeaf)) {
+      const primary = primaries.find(p => p.term >= replica.term && (p.term > replica.term || replica.pausedForTerm === 0) && p.term >= replica.pausedForTerm)
+      if (primary !== undefined) replica.follow(primary, count)
+    }
+    this.#pendingCommits = this.#pendingCommits.filter(({ primary, position, handleAcknowledged }) => {
+      if (!primary.isRunning || primary.role !== 'primary') return false
+      if (!running.some(e => e.role === 'replica' && e.term === primary.term && e.hasReceived(position))) return true
+      if (handleAcknowledged(position)) this.acknowledged.push(position)
+      return false
+    })
+  }
+
+  /** Makes an endpoint the primary of the next term with the log that it has, as the platform does. Records the acknowledged commits that it lacks. */
+  promote (name: string): void {
+    const candidate = this.endpoints.get(name)
+    if (candidate?.isRunning !== true || candidate === this.leader) return
+    const missing = this.acknowledged.filter(p => !candidate.hasReceived(p))
+    if (missing.length > 0) this.lost.push(`${name} lacks ${missing.map(p => `${p.term}.${p.index}`).join(', ')}`)
+    const term = Math.max(...[...this.endpoints.values()].map(e => e.term)) + 1
+    Object.assign(candidate, { role: 'primary', term, pausedForTerm: 0 })
+    setTimeout(() => {
+      for (const e of this.endpoints.values()) if (e.isRunning) e.demote(term)
+    }, OLD_PRIMARY_DEMOTION_MS)
+  }
+}
+
+/** Connects one VM to the endpoints of a simulated group. */
+export class SimulatedConnector extends EndpointConnector {
+  /** Endpoints that the VM does not reach. */
+  readonly unreachable = new Set<string>()
+  /** Whether the VM has stopped. */
+  isStopped = false
+  readonly #group: SimulatedGroup
+
+  constructor (group: SimulatedGroup) {
+    super()
+    this.#group = group
+  }
+
+  override async connect ({ endpoint }: { endpoint: string }): Promise<EndpointConnection> {
+    const run = async (command: (e: SimulatedEndpoint) => void): Promise<EndpointStatus> => {
+      await new Promise(resolve => setTimeout(resolve, CONTROL_DELAY_MS))
+      const found = this.#group.endpoints.get(endpoint)
+      if (found === undefined || !found.isRunning || this.isStopped || this.unreachable.has(endpoint)) throw new ConnectionLostError('endpoint does not respond')
+      command(found)
+      return found.readStatus()
+    }
+    await run(() => {})
+    const connection = {
+      readStatus: async () => await run(() => {}),
+      pause: async (term: number) => await run(e => e.pause(term)),
+      resume: async () => await run(e => { e.pausedForTerm = 0 }),
+      demote: async (term: number) => await run(e => e.demote(term)),
+      subscribeClose: () => {},
+      close: () => {}
+    }
+    return connection as unknown as EndpointConnection
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -0,0 +1,197 @@
+import { createLogger, createSeededRandom, type Logger } from '@camphorpitch/wire'
+import { EndpointConnector } from '../backend/endpoint-connector.ts'
+import { Promoter, type PromotionOrder, type PromotionResult } from '../backend/promoter.ts'
+import type { PromotionReason } from '../failover/decide-promotion.ts'
+import { ControlConnections } from '../failover/control-connections.ts'
+import { DutyClaims } from '../failover/duty-claim.ts'
+import { runPromotion, type PromotionHost } from '../failover/run-promotion.ts'
+import { FleetMessageHandler, type FleetMessageHandlerOptions } from '../fleet/fleet-message-handler.ts'
+import { addMember, createMemberState, recordLeft, recordPoll, recordReport, type MemberState } from '../fleet/members.ts'
+import type { FleetMessage } from '../fleet/message-schemas.ts'
+import { isLeadershipRevoked } from '../freshness/group-state.ts'
+import { ServiceGroup } from '../groups/service-group.ts'
+import { MetadataError, type MetadataStore } from '../metadata/metadata-store.ts'
+import { MemoryStore } from './memory-store.ts'
+import { SimulatedConnector, SimulatedGroup } from './simulated-group.ts'
+import { VirtualTime } from './virtual-time.ts'
+
+const MESSAGE_DELAY_MS = 3
+const STATEMENT_TIMEOUT_MS = 2_000
+const PROMOTION_DELAY_MS = 400
+
+/** VMs with their own views of a simulated group, which run the product's promotions. */
+export class SimulatedFleet {
+  readonly time = new VirtualTime()
+  readonly store = new MemoryStore()
+  readonly group: SimulatedGroup
+  readonly vms = new Map<string, SimulatedVm>()
+  readonly random: () => number
+  readonly logger: Logger
+
+  constructor (endpoints: readonly string[], seed = 1) {
+    this.time.start()
+    this.group = new SimulatedGroup(endpoints)
+    this.random = createSeededRandom(seed)
+    this.logger = createLogger({ process: 'test', level: 'silent' })
+  }
+
+  /** Starts a VM, or starts one again without what it knew, and introduces it to the others. */
+  startVm (name: string): SimulatedVm {
+    const vm = new SimulatedVm(this, name)
+    this.vms.set(name, vm)
+    for (const other of this.vms.values()) {
+      addMember(other.members, vm.members.self)
+      addMember(vm.members, other.members.self)
+    }
+    return vm
+  }
+
+  /** Replicates and lets `ms` milliseconds pass in steps of 10. */
+  async advance (ms: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 10) {
+      this.group.runReplication()
+      await this.time.advance(10)
+    }
+  }
+
+  /** Has every VM receive the reports of the others. */
+  exchangeReports (): void {
+    for (const vm of this.vms.values()) vm.pollOthers()
+  }
+}
+
+export class SimulatedVm {
+  readonly name: string
+  readonly group: ServiceGroup
+  readonly members: MemberState
+  readonly connector: SimulatedConnector
+  /** VMs that this VM does not reach. */
+  readonly unreachableVms = new Set<string>()
+  readonly orders: PromotionOrder[] = []
+  isRunning = true
+  /** Whether promotion orders of this VM are dropped on the way. */
+  losesOrders = false
+  readonly #fleet: SimulatedFleet
+  readonly #host: PromotionHost
+  readonly #handler: FleetMessageHandler
+
+  constructor (fleet: SimulatedFleet, name: string) {
+    const { time, logger } = fleet
+    this.name = name
+    this.#fleet = fleet
+    this.members = createMemberState({ vm: name, host: '127.0.0.1', port: 1, failureDomain: 'north', region: 'r', incarnation: Date.now() })
+    this.connector = new SimulatedConnector(fleet.group)
+    this.group = new ServiceGroup({ service: 's', connector: new IdleConnector(), clock: time, logger, readLimits: () => ({ retainedConnections: 0, maxOpenConnections: 0 }), recordOpened: () => {} })
+    this.#handler = this.#createHandler()
+    const claims = new DutyClaims({ store: this.#createStore(), clock: time, logger, vm: name, incarnation: this.members.self.incarnation })
+    const promoter = new SimulatedPromoter(fleet, this)
+    this.#host = { clock: time, logger: logger.child({ vm: name }), vm: name, control: new ControlConnections(this.connector), claims, promoter, ...this.#handler.createPromotionCallbacks() }
+  }
+
+  /** Registers endpoints in this VM's view; all of the group by default. */
+  addEndpoints (...endpoints: string[]): void {
+    const names = endpoints.length > 0 ? endpoints : [...this.#fleet.group.endpoints.keys()]
+    for (const name of names) this.group.updateEntry(this.#fleet.group.find(name).entry)
+  }
+
+  async promote (reason: PromotionReason): Promise<string | null> {
+    return await runPromotion(this.#host, this.group, reason)
+  }
+
+  /** Ends this VM with all that it knows. */
+  kill (): void {
+    this.isRunning = false
+    this.connector.isStopped = true
+  }
+
+  /** Ends this VM after it has announced that it leaves the fleet. */
+  leave (): void {
+    for (const other of this.#fleet.vms.values()) if (other !== this) recordLeft(other.members, this.name, this.members.self.incarnation)
+    this.#fleet.vms.delete(this.name)
+    this.kill()
+  }
+
+  /** Commits a write at the primary that this VM knows. */
+  commit (): void {
+    const { group } = this
+    const pool = group.primaryPool
+    if (pool === undefined || !this.isRunning || isLeadershipRevoked(group.state, this.#fleet.time.readNow()) || this.connector.unreachable.has(pool.entry.endpoint)) return
+    const send = async (): ReturnType<Parameters<ServiceGroup['runStatement']>[3]> => await new Promise(resolve => {
+      this.#fleet.group.commit(this.#fleet.group.find(pool.entry.endpoint), position => {
+        if (this.isRunning) resolve({ rows: [], signature: 'signature', error: null, state: 'idle', position })
+        return this.isRunning
+      })
+    })
+    group.runStatement(pool, true, STATEMENT_TIMEOUT_MS, send).catch(() => {}) // No response in time: the client's outcome is unknown.
+  }
+
+  canReach (other: SimulatedVm): boolean {
+    return this.isRunning && other.isRunning && !this.unreachableVms.has(other.name) && !other.unreachableVms.has(this.name)
+  }
+
+  pollOthers (): void {
+    const nowMs = this.#fleet.time.readNow()
+    for (const member of this.members.members.values()) {
+      const other = this.#fleet.vms.get(member.entry.vm)
+      recordPoll(member, nowMs)
+      if (other === undefined || !this.canReach(other)) continue
+      recordReport(this.members, other.name, nowMs)
+      const { createReport } = other.#handler.createHandlers()
+      this.#handler.createHandlers().applyReport(other.name, createReport({ type: 'poll', sequence: 1, vmsKnown: this.members.members.size + 1 }), nowMs)
+    }
+  }
+
+  #send (name: string, message: FleetMessage): void {
+    setTimeout(() => {
+      const other = this.#fleet.vms.get(name)
+      if (other !== undefined && this.canReach(other)) other.#handler.createHandlers().handleMessage(this.name, message)
+    }, MESSAGE_DELAY_MS)
+  }
+
+  #createHandler (): FleetMessageHandler {
+    const { time, logger } = this.#fleet
+    const quotas = { listDemand: () => [], recordVmDemand: () => {} }
+    const options = { clock: time, logger, self: this.members.self, configuration: { subscribe: () => {}, version: 0, current: null }, groups: { find: () => this.group, list: () => [this.group] }, quotas, members: this.members, quotaRecord: {} }
+    const handler = new FleetMessageHandler(options as unknown as FleetMessageHandlerOptions)
+    const [fleet, failover, permits] = [{ send: (vm: string, message: FleetMessage) => this.#send(vm, message), poll: () => {} }, { recordPrimaryChange: () => {} }, {}]
+    handler.connect(fleet as never, failover as never, permits as never)
+    return handler
+  }
+
+  /** Creates the VM's access to the fleet's store, which ends when the VM stops. */
+  #createStore (): MetadataStore {
+    const { store } = this.#fleet
+    const ensureRunning = (): void => { if (!this.isRunning) throw new MetadataError('the VM has stopped') }
+    const access: Pick<MetadataStore, 'find' | 'write'> = {
+      find: async (kind, name) => { ensureRunning(); return await store.find(kind, name) },
+      write: async (kind, name, value, revision) => { ensureRunning(); return await store.write(kind, name, value, revision) }
+    }
+    return access as MetadataStore
+  }
+}
+
+class SimulatedPromoter extends Promoter {
+  readonly #fleet: SimulatedFleet
+  readonly #vm: SimulatedVm
+
+  constructor (fleet: SimulatedFleet, vm: SimulatedVm) {
+    super()
+    this.#fleet = fleet
+    this.#vm = vm
+  }
+
+  override async promote (order: PromotionOrder, timeoutMs: number): Promise<PromotionResult> {
+    this.#vm.orders.push(order)
+    if (!this.#vm.isRunning || this.#vm.losesOrders) {
+      await new Promise(resolve => setTimeout(resolve, timeoutMs))
+      return 'unknown'
+    }
+    setTimeout(() => this.#fleet.group.promote(order.endpoint), PROMOTION_DELAY_MS)
+    return 'accepted'
+  }
+}
+
+/** Opens no connection: statements of the simulation do not use the pool. */
+class IdleConnector extends EndpointConnector {
+  override async connect (): Promise<never> { return await new Promise(() => {}) }
+}
