Leave paused replicas to the VM that holds the failover claim

What callers saw: commits acknowledged by the old primary after a later attempt had fenced the group, and missing after its promotion (LOST).

Cause: an attempt can outlast its claim: with an order that got no answer it takes up to 5.5 s (revocation, lease, order, effect), and a claim is taken over after 4 s. At its end it resumed all replicas, including those that the next holder of the claim had paused and whose positions it had already compared. Class of fault: acting on a claim without checking that it is still held.

Fix: at the end of an attempt an expired claim is claimed again before replicas are resumed and the failure is published. If another VM holds it, that VM's attempt resumes them. While the store does not respond the claim is retried for 5 s; then the replicas stay paused, and the next attempt fences and resumes them. Operators see `replicas not resumed`, with the reason. Before, they were resumed at once.

Test: on the code before, `resumes no replica that a later promotion has paused` failed with `a lacks 1.2, 1.3, 1.4, 1.5, 1.6`.

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -69,4 +69,28 @@
       })
     }
   })
+
+  describe('whose claim lapsed while it waited for its order to take effect', () => {
+    it('resumes no replica that a later promotion has paused', async () => {
+      const [vm1, vm2, vm3] = ['vm1', 'vm2', 'vm3'].map(name => fleet.startVm(name)) as [SimulatedVm, SimulatedVm, SimulatedVm]
+      for (const vm of [vm1, vm2, vm3]) vm.addEndpoints()
+      for (const vm of [vm1, vm2]) vm.connector.unreachable.add('p')
+      vm3.commit()
+      await fleet.advance(50)
+      vm1.losesOrders = true
+      const first = vm1.promote('primary lost')
+      await fleet.advance(100)
+      expect(await Promise.race([vm2.promote('primary lost'), fleet.advance(20)])).to.equal(null)
+      await fleet.advance(4_000)
+      vm1.connector.unreachable.add('a')
+      const second = vm2.promote('primary lost')
+      for (let i = 0; i < 100; i++) {
+        vm3.commit()
+        await fleet.advance(50)
+      }
+      expect(await first).to.equal(null)
+      expect(await second).to.equal('a')
+      expect(fleet.group.lost).to.deep.equal([])
+    })
+  })
 })
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -21,6 +21,9 @@
 const PROMOTION_EFFECT_TIMEOUT_MS = 3_500
 const MAX_BUSY_ATTEMPTS = 4
 const RETRY_DELAY_MS = 25
+/** Attempts to renew an expired claim while the store does not respond. */
+const MAX_RENEWAL_ATTEMPTS = 10
+const RENEWAL_RETRY_DELAY_MS = 500
 
 /** Result of the request to all VMs to revoke the leadership of a primary. */
 export interface Revocation {
@@ -270,16 +273,39 @@
   return null
 }
 
-/** Publishes the outcome, resumes the replicas, demotes the replaced primary and releases the claim. */
+/**
+ * Publishes the outcome, resumes the replicas, demotes the replaced primary and releases the claim. If another VM has claimed the duty
+ * meanwhile, it may have paused the same replicas, and relies on that; then they are left to it.
+ */
 async function finishAttempt (attempt: Attempt, promoted: string | null): Promise<void> {
-  const { host, group, claim, replicas, oldPrimary, term } = attempt
-  host.publishOutcome(group, promoted, term, attempt.leadershipVerifiedAtMs)
+  const { host, group, replicas, oldPrimary, term } = attempt
+  if (promoted !== null) host.publishOutcome(group, promoted, term, attempt.leadershipVerifiedAtMs)
+  const claim = await claimAgain(attempt)
+  if (claim === null) return
+  if (promoted === null) host.publishOutcome(group, null, term, attempt.leadershipVerifiedAtMs)
   const others = replicas.filter(e => e.endpoint !== promoted)
   await runOnAll(attempt, others, async c => await c.resume())
   if (oldPrimary !== undefined && promoted !== null && promoted !== oldPrimary.endpoint) await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
   await host.claims.release(claim)
 }
 
+/** Claims the duty again if the attempt's claim has expired. @returns `null` if another VM holds it, or the store has not responded for some seconds */
+async function claimAgain ({ host, group, claim }: Attempt): Promise<Claim | null> {
+  if (host.claims.isUsable(claim)) return claim
+  for (let attempts = 1; attempts <= MAX_RENEWAL_ATTEMPTS; attempts++) {
+    try {
+      const renewed = await host.claims.claim(group.service)
+      if (renewed === null) host.logger.warn('replicas not resumed, another VM holds the failover claim', { service: group.service })
+      return renewed
+    } catch (error) {
+      host.logger.info('renewal of the failover claim failed', { service: group.service, reason: describeError(error) })
+      await waitFor(RENEWAL_RETRY_DELAY_MS)
+    }
+  }
+  host.logger.warn('replicas not resumed, the failover claim has expired and the store does not respond', { service: group.service })
+  return null
+}
+
 interface EndpointResult { entry: EndpointEntry, status: EndpointStatus }
 
 /** Runs a command on several endpoints at once. @returns the statuses of those that responded */
