Compare the fenced replicas again after waiting for leases

What callers saw: a replica that restarted without its log during an attempt was promoted, and acknowledged commits were missing (LOST).

Cause: if a VM did not confirm its revocation, a promotion waits up to 1 s for leases, then paused all replicas again but ignored the answers: the candidate was chosen by the positions from before the wait. Class of fault: a decision by a state that is no longer current.

Fix: the candidate is chosen by the positions read after the wait. A replica whose log has become shorter, or that can't be paused, counts as unfenced, so the others must hold every position that the VMs know. A replica that does not answer the second time keeps its first answer: it was fenced then, and nothing shows that it lost that. Planned changes are read again as well, without a pause. Operators see `fenced endpoints have lost their logs or their pause` with both positions.

Test: on the code before, `does not promote it on the strength of a position that it had before` failed with `b lacks 1.1`. Not covered: a restart between the last answer and the promotion without a wait between them (250 ms at most).

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -93,4 +93,22 @@
       expect(fleet.group.lost).to.deep.equal([])
     })
   })
+
+  describe('while a replica restarts without its log', () => {
+    it('does not promote it on the strength of a position that it had before', async () => {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      fleet.group.find('a').isDeaf = true
+      vm2.commit()
+      await fleet.advance(50)
+      fleet.group.find('p').isRunning = false
+      vm2.kill()
+      const promoted = vm1.promote('primary lost')
+      await fleet.advance(600)
+      fleet.group.find('b').startAgain()
+      await fleet.advance(6_000)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await promoted).to.equal(null)
+    })
+  })
 })
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -105,11 +105,14 @@
   await updateTerm(attempt)
   const pendingRevocation = host.revoke(group, attempt.term, isPlanned, isPlanned ? PLANNED_REVOKE_TIMEOUT_MS : REVOKE_TIMEOUT_MS)
   if (isPlanned) await pendingRevocation
-  const fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
+  let fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
   const fencedAtMs = host.clock.readNow()
   const revocation = await pendingRevocation
   ensureLatestPrimary(attempt, revocation.latestPrimary)
-  if (!revocation.hasEveryVmConfirmed) await waitForLeases(attempt, fencedAtMs)
+  if (!revocation.hasEveryVmConfirmed) {
+    await waitForLeases(attempt, fencedAtMs)
+    fenced = await verifyFence(attempt, fenced)
+  }
   const { endpoints, unfencedReplicas } = fenced
   const candidate = pickCandidate({ fenced: endpoints, unfencedReplicas, ...revocation })
   host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: endpoints, unfencedReplicas, ...revocation })
@@ -231,13 +234,29 @@
 
 /** Waits until the lease of the old primary has expired on VMs that did not confirm the revocation and may still send it reads. */
 async function waitForLeases (attempt: Attempt, fencedAtMs: number): Promise<void> {
-  const { host, group, term } = attempt
+  const { host, group } = attempt
   const waitMs = fencedAtMs + LEADER_LEASE_MS - host.clock.readNow()
   host.logger.info('waiting for leadership leases to expire', { service: group.service, waitMs: Math.round(waitMs) })
   if (waitMs > 0) await waitFor(waitMs)
-  if (attempt.reason === 'primary draining') return
-  const paused = await runOnAll(attempt, attempt.replicas, async c => await c.pause(term))
-  if (paused.some(({ status }) => status.role === 'primary')) throw new Error('another replica became primary while waiting for leadership leases to expire')
+}
+
+/**
+ * Reads the positions of the fenced endpoints again after a wait. One whose log has become shorter has restarted without it and
+ * counts as unfenced; a replica that was resumed by a restart is paused again.
+ */
+async function verifyFence (attempt: Attempt, { endpoints, unfencedReplicas }: FencedGroup): Promise<FencedGroup> {
+  const { host, group, replicas, oldPrimary, term } = attempt
+  const isPlanned = attempt.reason === 'primary draining'
+  const pendingStatus = runOnAll(attempt, oldPrimary === undefined ? [] : [oldPrimary], async c => await c.readStatus())
+  const statuses = await runOnAll(attempt, replicas, async c => isPlanned ? await c.readStatus() : await c.pause(term))
+  ensureNotReplaced(attempt, statuses)
+  const statusByEndpoint = new Map([...statuses, ...await pendingStatus].map(({ entry, status }) => [entry.endpoint, status]))
+  const current = endpoints.map(f => ({ ...f, received: statusByEndpoint.get(f.endpoint)?.received ?? f.received }))
+  const isPaused = ({ endpoint }: FencedEndpoint): boolean => (statusByEndpoint.get(endpoint)?.pausedForTerm ?? term) >= term
+  const verified = current.filter((f, i) => comparePositions(f.received, endpoints[i]!.received) >= 0 && (isPlanned || f.isOldPrimary || isPaused(f)))
+  if (verified.length < endpoints.length) host.logger.warn('fenced endpoints have lost their logs or their pause', { service: group.service, term, before: endpoints, after: current })
+  const lostReplicas = current.filter(f => !f.isOldPrimary && !verified.includes(f)).length
+  return { endpoints: verified, unfencedReplicas: unfencedReplicas + lostReplicas }
 }
 
 /** Requests the promotion and waits until it takes effect. @returns the endpoint, or `null` if it did not become primary */
