Log how each client session ended, and the steps of a stop

A connection that ended without an answer left no line in the log of its VM: a statement that arrived at a closed session was dropped silently, and drain finished was logged before the rest of the stop, so that a process killed at the end of its grace period did not show what it waited for. Each end of a session is now one line with its cause, the statements answered and not answered, and the bytes of an incomplete message; it is a warning if a statement was left unanswered. Two counters hold the same by cause. The steps of a stop are logged with the time since its begin.

No behaviour changes: the statements counted as unanswered were dropped before.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -113,12 +113,17 @@
     readStatus: () => createGatewayStatus({ ...components, isReady, countSessions: () => sessions.size }),
     drain: async () => {
       isDraining = true
-      await drainSessions({ clock, logger, graceMs: settings.graceS * 1_000, listSessions: () => [...sessions] })
+      const startedAtMs = clock.readNow()
+      const logStep = (step: string): void => { logger.info(step, { sinceStopMs: Math.round(clock.readNow() - startedAtMs) }) }
+      await drainSessions({ clock, logger, graceMs: settings.graceS * MS_PER_SECOND, listSessions: () => [...sessions] })
       clearInterval(maintenanceTimer)
       for (const w of watches) w.stop()
       failover.stop()
-      await Promise.all([fleet.stop(), adapters.listener.stop()])
+      await Promise.all([fleet.stop().then(() => logStep('fleet left')), adapters.listener.stop()])
       await network.stop()
+      logStep('links closed')
+      for (const session of sessions) session.recordEnd('processExit')
+      logStep('stopped')
     }
   }
 }
--- a/packages/gateway/src/clients/client-listener.ts
+++ b/packages/gateway/src/clients/client-listener.ts
@@ -11,6 +11,13 @@
   position?: { term: number, index: number } | null
 }
 
+/** Input of a client connection that is not yet a whole message. */
+export interface InputState {
+  incompleteBytes: number
+  /** Time since the last byte was received, in milliseconds; `null` before the first. */
+  sinceLastByteMs: number | null
+}
+
 /** The gateway's side of one client connection. */
 export abstract class ClientTransport {
   /** Tells the client that its session is accepted. */
@@ -19,6 +26,7 @@
   abstract sendRefusal (error: ResponseError): void
   abstract sendResponse (response: ClientResponse): void
   abstract close (): void
+  abstract readInputState (): InputState
 }
 
 /** Handlers for what a client does on its connection; they are called in the order of the events. */
@@ -28,6 +36,10 @@
   handleStatement: (statement: ClientStatement) => void
   /** Handles a message that could not be decoded. */
   handleMalformed: (reason: string) => void
+  /** Handles a message above the maximum size, after which the connection is closed. */
+  handleTooLarge: () => void
+  /** Handles the client's message that ends the session. */
+  handleTerminate: () => void
   handleClose: () => void
 }
 
--- a/packages/gateway/src/drain/drain.test.ts
+++ b/packages/gateway/src/drain/drain.test.ts
@@ -1,5 +1,6 @@
 import { Clock, createLogger } from '@camphorpitch/wire'
 import { expect } from 'chai'
+import type { SessionActivity } from '../sessions/session-end.ts'
 import { drainSessions } from './drain.ts'
 
 const logger = createLogger({ process: 'test', level: 'silent' })
@@ -13,6 +14,7 @@
   isBusy = true
   idleMs = 0
   isEnded = false
+  get activity (): SessionActivity { return this.isBusy ? 'inTransaction' : 'idle' }
   closeWhenIdle (): void { if (!this.isBusy) this.isEnded = true }
   endTransaction (): void { this.isBusy = false }
 }
--- a/packages/gateway/src/drain/drain.ts
+++ b/packages/gateway/src/drain/drain.ts
@@ -1,5 +1,6 @@
 import type { Clock, Logger } from '@camphorpitch/wire'
 import type { ClientSession } from '../sessions/client-session.ts'
+import { countByActivity } from '../sessions/session-end.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 
 /** Time in which the load balancer removes a VM that is not ready: two readiness checks a second apart, and their latency. */
@@ -19,7 +20,7 @@
   logger: Logger
   /** Time until the process is killed, in milliseconds. */
   graceMs: number
-  listSessions: () => Array<Pick<ClientSession, 'isBusy' | 'idleMs' | 'closeWhenIdle' | 'endTransaction'>>
+  listSessions: () => Array<Pick<ClientSession, 'activity' | 'isBusy' | 'idleMs' | 'closeWhenIdle' | 'endTransaction'>>
   /** Waits for the given time; tests replace it together with the clock. */
   pause?: (ms: number) => Promise<void>
 }
@@ -32,7 +33,7 @@
 export async function drainSessions ({ clock, logger, graceMs, listSessions, pause = waitFor }: DrainOptions): Promise<void> {
   const startedAtMs = clock.readNow()
   const hasElapsed = (afterMs: number): boolean => clock.readNow() - startedAtMs >= afterMs
-  logger.info('draining', { sessions: listSessions().length, graceMs })
+  logger.info('draining', { sessions: listSessions().length, activities: countByActivity(listSessions()), graceMs })
   let noSessionSinceMs = startedAtMs + BALANCER_REMOVAL_MS
   while (!hasElapsed(graceMs - KILL_MARGIN_MS)) {
     const sessions = listSessions()
@@ -42,5 +43,5 @@
     if (hasElapsed(graceMs * TRANSACTION_GRACE_FRACTION)) for (const s of sessions) s.endTransaction('the VM stops')
     await pause(CHECK_INTERVAL_MS)
   }
-  logger.info('drain finished', { left: listSessions().length, durationMs: Math.round(clock.readNow() - startedAtMs) })
+  logger.info('drain finished', { left: listSessions().length, waitedFor: countByActivity(listSessions()), durationMs: Math.round(clock.readNow() - startedAtMs) })
 }
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -113,6 +113,7 @@
     for (const vm of members.keys()) this.send(vm, { type: 'left', incarnation: self.incarnation })
     try {
       if (this.#localEntryRevision !== null) await store.delete('vms', self.vm, this.#localEntryRevision)
+      logger.info('local vm entry removed', { vm: self.vm })
     } catch (error) {
       logger.info('removal of the local vm entry failed', { reason: String(error) })
     }
--- a/packages/gateway/src/sessions/client-session.test.ts
+++ b/packages/gateway/src/sessions/client-session.test.ts
@@ -1,7 +1,7 @@
 import { createLogger } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import type { ResponseError, ClientStatement } from '../backend/statement.ts'
-import { ClientTransport, type ClientResponse } from '../clients/client-listener.ts'
+import { ClientTransport, type ClientResponse, type InputState } from '../clients/client-listener.ts'
 import type { Configuration } from '../configuration/configuration.ts'
 import type { Operation, Outcome } from '../statements/operation.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
@@ -23,6 +23,7 @@
   override sendRefusal (): void { this.isClosed = true }
   override sendResponse (response: ClientResponse): void { this.responses.push(response) }
   override close (): void { this.isClosed = true }
+  override readInputState (): InputState { return { incompleteBytes: 0, sinceLastByteMs: null } }
 }
 
 function createHost (run: (operation: Operation) => Promise<Outcome>): SessionHost {
@@ -37,6 +38,7 @@
     runWrite: run,
     openTransaction: async () => ({ refusal: { code: 'busy', text: '' } }),
     recordOutcome: () => {},
+    recordSessionEnd: () => {},
     removeSession: () => {}
   }
 }
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -6,18 +6,23 @@
 import type { PinnedTransaction } from '../statements/pinned-transaction.ts'
 import { authenticate } from './authenticate.ts'
 import { createSessionState, decideStatement, type StatementPlan } from './decide-statement.ts'
+import type { SessionActivity, SessionEndCause } from './session-end.ts'
 import type { SessionHost } from './session-host.ts'
 
 /** Maximum number of statements that a client may send ahead of their responses. */
 const MAX_QUEUED_STATEMENTS = 256
 
+type QueuedStatement = ClientStatement | { malformed: string }
+
 /** The session of one client connection. Runs its statements one at a time and holds its transaction and session state. */
 export class ClientSession implements ClientEvents {
   readonly id: string
   readonly #host: SessionHost
   readonly #transport: ClientTransport
   readonly #sessionState = createSessionState()
-  readonly #queue: Array<ClientStatement | { malformed: string }> = []
+  readonly #queue: QueuedStatement[] = []
+  #runningStatement: QueuedStatement | null = null
+  #answeredCount = 0
   #database = ''
   #key = ''
   #workspace: string | null = null
@@ -27,8 +32,12 @@
   /** Why the open transaction was lost; the client is told with its next statement. `null` when none was lost. */
   #transactionLossReason: string | null = null
   #transactionIdleTimer: NodeJS.Timeout | undefined
-  #isStatementRunning = false
   #isClosed = false
+  #closedAtMs = 0
+  #endCause: SessionEndCause | null = null
+  #isEndRecorded = false
+  /** Statements that were unanswered when the gateway closed the session. */
+  #droppedIds: string[] | null = null
   #isCloseRequested = false
   #lastActiveAtMs: number
 
@@ -40,12 +49,12 @@
   }
 
   handleStartup = (database: string, key: string): void => {
-    if (this.#workspace !== null) return this.#transport.close()
+    if (this.#workspace !== null) return this.#close('startupRefused')
     this.#database = database
     this.#key = key
     this.#host.waitForConfiguration().then(configuration => this.#admitSession(configuration), (error: unknown) => {
       this.#host.logger.error('session admission failed', { session: this.id, error: String(error) })
-      this.#transport.close()
+      this.#close('internalError')
     })
   }
 
@@ -57,17 +66,43 @@
     this.#enqueueStatement({ malformed: reason })
   }
 
+  handleTooLarge = (): void => this.#recordCause('messageTooLarge')
+
+  handleTerminate = (): void => this.#close('clientTerminated')
+
   handleClose = (): void => {
+    this.recordEnd('clientClosed')
     this.#isClosed = true
     clearTimeout(this.#transactionIdleTimer)
     this.#queue.length = 0
-    if (!this.#isStatementRunning) this.#transaction?.rollback()
+    if (!this.#isRunning) this.#transaction?.rollback()
     this.#host.removeSession(this)
   }
 
+  /** Logs and counts the end of the session, once. `cause` applies if the gateway did not begin to end it before. */
+  recordEnd (cause: SessionEndCause): void {
+    if (this.#isEndRecorded) return
+    this.#isEndRecorded = true
+    this.#host.recordSessionEnd({
+      session: this.id,
+      cause: this.#endCause ?? cause,
+      version: this.#host.readConfiguration()?.version,
+      answered: this.#answeredCount,
+      unansweredIds: this.#droppedIds ?? this.#listUnansweredIds(),
+      input: this.#transport.readInputState()
+    })
+  }
+
+  get activity (): SessionActivity {
+    if (this.#isClosed) return 'closing'
+    if (this.#isRunning || this.#queue.length > 0) return 'busy'
+    if (this.#sessionState.transaction !== 'idle') return 'inTransaction'
+    return this.#workspace === null ? 'notStarted' : 'idle'
+  }
+
   /** Whether a statement is running or queued, or a transaction is open. */
   get isBusy (): boolean {
-    return this.#isStatementRunning || this.#queue.length > 0 || this.#sessionState.transaction !== 'idle'
+    return this.#isRunning || this.#queue.length > 0 || this.#sessionState.transaction !== 'idle'
   }
 
   /** Time since the last statement began or ended, in milliseconds. */
@@ -78,12 +113,12 @@
   /** Closes the session now if it is idle, else once its queued statements and its transaction have ended. */
   closeWhenIdle (): void {
     this.#isCloseRequested = true
-    if (!this.isBusy) this.#close()
+    if (!this.isBusy) this.#close('drain')
   }
 
   /** Rolls back an open transaction unless one of its statements is running. The client gets `reason` with its next statement. */
   endTransaction (reason: string): void {
-    if (this.#isStatementRunning || this.#sessionState.transaction === 'idle' || this.#transactionLossReason !== null) return
+    if (this.#isRunning || this.#sessionState.transaction === 'idle' || this.#transactionLossReason !== null) return
     clearTimeout(this.#transactionIdleTimer)
     this.#abandonTransaction(reason)
   }
@@ -91,7 +126,7 @@
   /** Applies a new configuration: closes the session when its key or database is no longer valid, unless the session is busy. */
   applyConfiguration (configuration: Configuration): void {
     if (this.#workspace === null || this.isBusy) return
-    if ('error' in authenticate(configuration, this.#database, this.#key)) this.#close()
+    if ('error' in authenticate(configuration, this.#database, this.#key)) this.#close('configuration')
   }
 
   #admitSession (configuration: Configuration | null): void {
@@ -99,6 +134,7 @@
     const admission = configuration === null ? { error: { code: 'busy' as const, text: 'no configuration yet; retry after 1000 ms' } } : authenticate(configuration, this.#database, this.#key)
     if ('error' in admission) {
       this.#host.logger.info('session refused', { session: this.id, database: this.#database, version: configuration?.version, ...admission.error })
+      this.#recordCause('startupRefused')
       this.#transport.sendRefusal(admission.error)
       return
     }
@@ -107,33 +143,48 @@
     this.#runNextStatement()
   }
 
-  #enqueueStatement (queued: ClientStatement | { malformed: string }): void {
-    if (this.#isClosed) return
-    if (this.#queue.length >= MAX_QUEUED_STATEMENTS) return this.#close()
+  get #isRunning (): boolean {
+    return this.#runningStatement !== null
+  }
+
+  #listUnansweredIds (): string[] {
+    const pending = this.#runningStatement === null ? this.#queue : [this.#runningStatement, ...this.#queue]
+    return pending.map(readStatementId)
+  }
+
+  #enqueueStatement (queued: QueuedStatement): void {
+    if (this.#isClosed) {
+      this.#host.logger.warn('statement received after its session was closed', { id: readStatementId(queued), session: this.id, cause: this.#endCause, sinceCloseMs: Math.round(this.#host.clock.readNow() - this.#closedAtMs) })
+      return
+    }
+    if (this.#queue.length >= MAX_QUEUED_STATEMENTS) {
+      this.#queue.push(queued)
+      return this.#close('queueFull')
+    }
     this.#queue.push(queued)
     if (this.#workspace !== null) this.#runNextStatement()
   }
 
   #runNextStatement (): void {
-    if (this.#isStatementRunning) return
+    if (this.#isRunning) return
     const queued = this.#queue.shift()
     if (queued === undefined) return
-    this.#isStatementRunning = true
+    this.#runningStatement = queued
     clearTimeout(this.#transactionIdleTimer)
     this.#lastActiveAtMs = this.#host.clock.readNow()
     const running = 'malformed' in queued ? this.#sendResponse({ error: { code: 'malformed', text: queued.malformed }, state: this.#sessionState.transaction }) : this.#admitAndRun(queued)
     Promise.resolve(running).catch((error: unknown) => {
       this.#host.logger.error('statement processing failed', { session: this.id, error: error instanceof Error ? error.stack : String(error) })
-      this.#close()
+      this.#close('internalError')
     }).finally(() => this.#finishStatement())
   }
 
   #finishStatement (): void {
-    this.#isStatementRunning = false
+    this.#runningStatement = null
     this.#lastActiveAtMs = this.#host.clock.readNow()
     if (this.#isClosed) return this.#transaction?.rollback()
     if (this.#queue.length > 0) return this.#runNextStatement()
-    if (this.#isCloseRequested && this.#sessionState.transaction === 'idle') return this.#close()
+    if (this.#isCloseRequested && this.#sessionState.transaction === 'idle') return this.#close('drain')
     if (this.#transaction !== null) this.#transactionIdleTimer = setTimeout(() => this.#abandonTransaction('the transaction was idle for too long'), this.#host.readTransactionIdleTimeoutMs())
   }
 
@@ -252,13 +303,27 @@
   }
 
   #sendResponse (response: ClientResponse): void {
-    if (!this.#isClosed) this.#transport.sendResponse(response)
+    if (this.#isClosed) return
+    this.#answeredCount++
+    this.#transport.sendResponse(response)
+  }
+
+  #recordCause (cause: SessionEndCause): void {
+    this.#endCause ??= cause
   }
 
   /** Closes the session. Statements that arrive later are not run, because their client would get no response. */
-  #close (): void {
+  #close (cause: SessionEndCause): void {
+    if (this.#isClosed) return
+    this.#recordCause(cause)
+    this.#droppedIds = this.#listUnansweredIds()
     this.#isClosed = true
+    this.#closedAtMs = this.#host.clock.readNow()
     this.#queue.length = 0
     this.#transport.close()
   }
 }
+
+function readStatementId (queued: QueuedStatement): string {
+  return 'malformed' in queued ? '-' : queued.id
+}
--- a/packages/gateway/src/sessions/gateway-session-host.ts
+++ b/packages/gateway/src/sessions/gateway-session-host.ts
@@ -16,6 +16,7 @@
 import type { StatementContext } from '../statements/statement-context.ts'
 import type { GatewayMetrics } from '../telemetry/gateway-metrics.ts'
 import type { ClientSession } from './client-session.ts'
+import { recordSessionEnd, type SessionEnd } from './session-end.ts'
 import type { SessionHost } from './session-host.ts'
 
 /** Timeout of the wait for the first configuration. Clients give up when their session is not accepted within two seconds. */
@@ -99,6 +100,8 @@
     this.logger.warn('statement ended with an error', { id: statement.id, type: statement.type, session: requiredState.session, workspace, service, elapsedMs: Math.round(elapsedMs), ...error })
   }
 
+  recordSessionEnd = (end: SessionEnd): void => recordSessionEnd(end, this.logger, this.#options.metrics)
+
   removeSession = (session: ClientSession): void => this.#options.removeSession(session)
 
   #refuseUncounted (id: string, workspace: string, retryAfterMs: number): ResponseError {
--- a/packages/gateway/src/sessions/session-host.ts
+++ b/packages/gateway/src/sessions/session-host.ts
@@ -4,6 +4,7 @@
 import type { Operation, Outcome } from '../statements/operation.ts'
 import type { OpenedTransaction } from '../statements/pinned-transaction.ts'
 import type { ClientSession } from './client-session.ts'
+import type { SessionEnd } from './session-end.ts'
 
 /** What a client session needs from the other components of this VM. */
 export interface SessionHost {
@@ -22,6 +23,8 @@
   openTransaction: (operation: Operation, isReadOnly: boolean) => Promise<OpenedTransaction>
   /** Records how an operation ended, in metrics and, for errors, in the log. */
   recordOutcome: (operation: Operation, outcome: Outcome) => void
+  /** Records how a session ended, in metrics and in the log. */
+  recordSessionEnd: (end: SessionEnd) => void
   /** Removes a closed session from the VM's list of sessions. */
   removeSession: (session: ClientSession) => void
 }
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -12,6 +12,8 @@
   connectionsOpened: Counter<'service'>
   promotions: Counter<'service' | 'result'>
   sessions: Gauge
+  sessionEnds: Counter<'cause'>
+  unansweredStatements: Counter<'cause'>
   configurationVersion: Gauge
 }
 
@@ -28,6 +30,8 @@
     connectionsOpened: new Counter({ name: 'camphorpitch_gateway_connections_opened_total', help: 'Connections opened to endpoints', labelNames: ['service'], registers }),
     promotions: new Counter({ name: 'camphorpitch_gateway_promotions_total', help: 'Promotions attempted by this VM', labelNames: ['service', 'result'], registers }),
     sessions: new Gauge({ name: 'camphorpitch_gateway_sessions', help: 'Open client sessions', registers }),
+    sessionEnds: new Counter({ name: 'camphorpitch_gateway_session_ends_total', help: 'Ended client sessions, by cause', labelNames: ['cause'], registers }),
+    unansweredStatements: new Counter({ name: 'camphorpitch_gateway_unanswered_statements_total', help: 'Statements received but not answered when their session ended, by cause', labelNames: ['cause'], registers }),
     configurationVersion: new Gauge({ name: 'camphorpitch_gateway_configuration_version', help: 'Version in force', registers })
   }
 }
