Bind revisions to the epoch of the store, and drop what was learnt in an earlier one

In a drill the platform's store comes back from a copy some seconds old: revisions go back and are given out again, and Store-Era, a header of all its answers, rises by one. A gateway compared bare numbers, so it

- missed every change whose revision was at or below the one it had watched up to, if the return fell between two watches (they pause up to 1.5 s);
- took a late answer of the time before for the present;
- took a conditional write for successful that had met a number given out again for another object.

MetadataStore now speaks of Revision { epoch, number }; platform/ reads the header of every answer, refusals included, and hands it on (without the header: epoch 0). EpochTracker rejects answers of an earlier epoch and reports a later one; each KindWatch then gives up its watch and lists again. A write or deletion whose revision is of an earlier epoch is not sent, and one during which the epoch changed rejects like a conflict, so that its caller looks the object up.

Within an epoch the calls to the store are the same as before.

The store's stand-in returns from older copies (copyAgeMs, awayMs, rewriteDelayMs), gives out revisions again, sends the header, answers 410 to watches from the future, and has the operator's and the instances' objects written again after a delay. MemoryStore does the same, holds answers back and executes writes late.

--- a/packages/gateway/src/directory/directory.ts
+++ b/packages/gateway/src/directory/directory.ts
@@ -1,4 +1,5 @@
 import type { Change, Listing, StoredObject } from '../metadata/metadata-store.ts'
+import { compareRevisions, type Revision } from '../metadata/revision.ts'
 import type { EndpointEntry } from './endpoint-entry.ts'
 
 /** The platform guarantees that entries which lapsed during a store outage return within this time after it. */
@@ -8,7 +9,7 @@
 export interface DirectoryState {
   entries: Map<string, EndpointEntry>
   /** Revision of the store up to which changes have been applied. */
-  asOf: number
+  asOf: Revision
   /** When to remove each endpoint whose entry is missing from the store, by its name. */
   lapsedRemovalAtMs: Map<string, number>
   /** When the store last recovered from an outage; entries may still be missing shortly after. */
@@ -19,7 +20,7 @@
 export interface DirectoryChange { event: DirectoryEvent, entry: EndpointEntry }
 
 export function createDirectory (): DirectoryState {
-  return { entries: new Map(), asOf: 0, lapsedRemovalAtMs: new Map(), storeRecoveredAtMs: -Infinity }
+  return { entries: new Map(), asOf: { epoch: 0, number: 0 }, lapsedRemovalAtMs: new Map(), storeRecoveredAtMs: -Infinity }
 }
 
 /** Records that the store responds again after an outage. */
@@ -29,7 +30,7 @@
 
 /** Applies a full listing of the store; one older than what has been applied is ignored. */
 export function applyListing (state: DirectoryState, listing: Listing<EndpointEntry>, nowMs: number): DirectoryChange[] {
-  if (listing.asOf < state.asOf) return []
+  if (compareRevisions(listing.asOf, state.asOf) < 0) return []
   state.asOf = listing.asOf
   const changes = listing.items.flatMap(o => applyObject(state, o))
   const listedNames = new Set(listing.items.filter(o => o.value !== null).map(o => o.name))
@@ -40,9 +41,9 @@
 }
 
 /** Applies changes that a watch of the store has returned. */
-export function applyChanges (state: DirectoryState, storeChanges: ReadonlyArray<Change<EndpointEntry>>, asOf: number, nowMs: number): DirectoryChange[] {
+export function applyChanges (state: DirectoryState, storeChanges: ReadonlyArray<Change<EndpointEntry>>, asOf: Revision, nowMs: number): DirectoryChange[] {
   const changes = storeChanges.flatMap(({ object, isRemoved }) => isRemoved ? handleMissingEntry(state, object.name, nowMs) : applyObject(state, object))
-  state.asOf = Math.max(state.asOf, asOf)
+  if (compareRevisions(asOf, state.asOf) > 0) state.asOf = asOf
   return changes
 }
 
--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -1,6 +1,8 @@
 import type { Clock, Logger } from '@camphorpitch/wire'
 import { z } from 'zod'
-import { RevisionConflictError, type MetadataStore, type StoredObject } from '../metadata/metadata-store.ts'
+import { RevisionConflictError } from '../metadata/errors.ts'
+import type { MetadataStore, StoredObject } from '../metadata/metadata-store.ts'
+import { isSameRevision, type Revision } from '../metadata/revision.ts'
 
 /** Another VM may take over a claim that it has seen unchanged for this long. */
 export const CLAIM_TAKEOVER_MS = 4_000
@@ -14,6 +16,7 @@
   service: string
   /** Grows with each claim of the service. */
   fencingToken: number
+  revision: Revision
   /** Time at which the claim was sent to the store, on this VM's clock. */
   claimedAtMs: number
 }
@@ -27,7 +30,7 @@
 }
 
 /** Another VM's claim, with the time since when this VM has seen it unchanged. */
-interface ObservedClaim { revision: number, sinceMs: number }
+interface ObservedClaim { revision: Revision, sinceMs: number }
 
 /**
  * Claims on the failover duty. Each service has one object in the store, which is changed by conditional updates only.
@@ -55,9 +58,9 @@
     if (current !== undefined && !this.#isFree(service, current)) return null
     const claimedAtMs = clock.readNow()
     try {
-      const fencingToken = await store.write('duties', name, { holder: vm, incarnation }, current?.revision ?? null)
+      const revision = await store.write('duties', name, { holder: vm, incarnation }, current?.revision ?? null)
       this.#observed.delete(service)
-      return { service, fencingToken, claimedAtMs }
+      return { service, fencingToken: revision.number, revision, claimedAtMs }
     } catch (error) {
       if (error instanceof RevisionConflictError) return null
       throw error
@@ -73,7 +76,7 @@
   async release (claim: Claim): Promise<void> {
     const { store, logger, incarnation } = this.#options
     try {
-      await store.write('duties', formatObjectName(claim.service), { holder: null, incarnation }, claim.fencingToken)
+      await store.write('duties', formatObjectName(claim.service), { holder: null, incarnation }, claim.revision)
     } catch (error) {
       logger.info('releasing the failover claim failed', { service: claim.service, reason: String(error) })
     }
@@ -85,7 +88,7 @@
     if (!claim.success || claim.data.holder === null || claim.data.holder === vm) return true
     const nowMs = clock.readNow()
     const observed = this.#observed.get(service)
-    if (observed?.revision === revision) return nowMs - observed.sinceMs >= CLAIM_TAKEOVER_MS
+    if (observed !== undefined && isSameRevision(observed.revision, revision)) return nowMs - observed.sinceMs >= CLAIM_TAKEOVER_MS
     this.#observed.set(service, { revision, sinceMs: nowMs })
     return false
   }
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -1,6 +1,8 @@
 import type { Clock, Hello, Logger, PeerNetwork } from '@camphorpitch/wire'
 import type { z } from 'zod'
-import { RevisionConflictError, type MetadataStore } from '../metadata/metadata-store.ts'
+import { RevisionConflictError } from '../metadata/errors.ts'
+import type { MetadataStore } from '../metadata/metadata-store.ts'
+import type { Revision } from '../metadata/revision.ts'
 import { watchKind, type KindWatch } from '../metadata/watch-kind.ts'
 import { addMember, REMOVE_ENTRY_AFTER_MS, isResponsive, listPolled, measureUnansweredMs, recordLeft, recordPoll, recordReport, removeMember, type MemberState } from './members.ts'
 import { fleetMessageSchema, vmEntrySchema, type FleetMessage, type pollSchema, type Report } from './message-schemas.ts'
@@ -53,7 +55,7 @@
   #round = 0
   #roundTimer: NodeJS.Timeout | undefined
   #vmsWatch: KindWatch<'vms'> | undefined
-  #localEntryRevision: number | null = null
+  #localEntryRevision: Revision | null = null
   #isStopped = false
 
   constructor (options: FleetOptions) {
@@ -178,7 +180,7 @@
 
   async #register (): Promise<void> {
     const { store, state: { self }, logger } = this.#options
-    for (let expectedRevision: number | null = null; !this.#isStopped && this.#localEntryRevision === null;) {
+    for (let expectedRevision: Revision | null = null; !this.#isStopped && this.#localEntryRevision === null;) {
       try {
         this.#localEntryRevision = await store.write('vms', self.vm, self, expectedRevision)
         logger.info('local vm entry registered', { vm: self.vm })
@@ -189,7 +191,7 @@
     }
   }
 
-  async #findLocalEntryRevision (): Promise<number | null> {
+  async #findLocalEntryRevision (): Promise<Revision | null> {
     const { store, state: { self }, logger } = this.#options
     try {
       return (await store.find('vms', self.vm))?.revision ?? null
--- a/packages/gateway/src/limits/quota-record.ts
+++ b/packages/gateway/src/limits/quota-record.ts
@@ -1,7 +1,9 @@
 import type { Clock, Logger } from '@camphorpitch/wire'
 import { z } from 'zod'
 import { computeRank, type MemberState } from '../fleet/members.ts'
-import { RevisionConflictError, type MetadataStore } from '../metadata/metadata-store.ts'
+import { RevisionConflictError } from '../metadata/errors.ts'
+import type { MetadataStore } from '../metadata/metadata-store.ts'
+import type { Revision } from '../metadata/revision.ts'
 import type { QuotaCounter } from './quota-counter.ts'
 
 const OBJECT_NAME = 'pressed'
@@ -33,7 +35,7 @@
  */
 export class QuotaRecord {
   readonly #options: QuotaRecordOptions
-  #revision: number | null = null
+  #revision: Revision | null = null
   #writtenNearLimit: string | undefined
   #writtenAtMs = -Infinity
   #isWriting = false
--- a/packages/gateway/src/metadata/watch-kind.test.ts
+++ b/packages/gateway/src/metadata/watch-kind.test.ts
@@ -1,6 +1,6 @@
 import { createLogger } from '@camphorpitch/wire'
 import { expect } from 'chai'
-import { MemoryStore } from '../testing/memory-store.ts'
+import { MemoryStore, MemoryStoreState } from '../testing/memory-store.ts'
 import { watchKind } from './watch-kind.ts'
 
 const logger = createLogger({ process: 'test', level: 'silent' })
@@ -10,7 +10,7 @@
   while (!isDone()) await new Promise(resolve => setTimeout(resolve, STEP_MS))
 }
 
-function startWatch (store: MemoryStore): { names: Set<string>, countRecoveries: () => number, stop: () => void } {
+function startWatch (store: MemoryStore, pauseMs?: number): { names: Set<string>, countRecoveries: () => number, stop: () => void } {
   const names = new Set<string>()
   let recoveryCount = 0
   const watch = watchKind({
@@ -18,6 +18,7 @@
     logger,
     kind: 'vms',
     waitMs: 50,
+    pauseMs,
     handleStoreRecovery: () => recoveryCount++,
     applyListing: ({ items }) => {
       names.clear()
@@ -93,4 +94,49 @@
     expect(watch.countRecoveries()).to.equal(1)
     watch.stop()
   })
+
+  it('lists the objects again when the store has returned from an older copy between two watches and given out revisions again', async () => {
+    const store = new MemoryStore()
+    store.replace('vms', 'kept', {})
+    const watch = startWatch(store, 100)
+    await waitUntil(() => watch.names.has('kept'))
+    const copy = store.createCopy()
+    store.replace('vms', 'lost', {})
+    await waitUntil(() => watch.names.has('lost'))
+    store.restore(copy)
+    store.replace('vms', 'new-1', {})
+    store.replace('vms', 'new-2', {})
+    await waitUntil(() => watch.names.has('new-1') && watch.names.has('new-2') && !watch.names.has('lost'))
+    watch.stop()
+  })
+
+  it('follows the objects through two returns in a row', async () => {
+    const store = new MemoryStore()
+    const copy = store.createCopy()
+    const watch = startWatch(store)
+    store.replace('vms', 'a', {})
+    await waitUntil(() => watch.names.has('a'))
+    store.restore(copy)
+    store.replace('vms', 'b', {})
+    store.restore(copy)
+    store.replace('vms', 'c', {})
+    await waitUntil(() => watch.names.has('c') && watch.names.size === 1)
+    watch.stop()
+  })
+
+  it('ignores a late listing of an earlier epoch', async () => {
+    const state = new MemoryStoreState()
+    const slowStore = new MemoryStore(state)
+    const copy = state.createCopy()
+    state.replace('vms', 'lost', {})
+    slowStore.holdsAnswers = true
+    const watch = startWatch(slowStore)
+    state.restore(copy)
+    state.replace('vms', 'new', {})
+    slowStore.epochs.accept(state.epoch)
+    slowStore.releaseAnswers()
+    await waitUntil(() => watch.names.size > 0)
+    expect([...watch.names]).to.deep.equal(['new'])
+    watch.stop()
+  })
 })
--- a/packages/gateway/src/metadata/watch-kind.ts
+++ b/packages/gateway/src/metadata/watch-kind.ts
@@ -1,6 +1,8 @@
 import { describeError, MonotonicClock, type Logger } from '@camphorpitch/wire'
 import { waitFor } from '../runtime/wait-at-most.ts'
-import { HistoryGoneError, type Change, type Changes, type Listing, type MetadataStore, type ObjectKind, type ObjectKinds } from './metadata-store.ts'
+import { EpochChangedError, HistoryGoneError } from './errors.ts'
+import type { Change, Changes, Listing, MetadataStore, ObjectKind, ObjectKinds } from './metadata-store.ts'
+import type { Revision } from './revision.ts'
 
 /** How long one watch waits for changes; a connection that no longer responds is noticed after this time. */
 const WATCH_TIMEOUT_MS = 5_000
@@ -22,16 +24,16 @@
    */
   coalesceMs?: number
   applyListing: (listing: Listing<ObjectKinds[K]>) => void
-  applyChanges: (changes: Array<Change<ObjectKinds[K]>>, asOf: number) => void
+  applyChanges: (changes: Array<Change<ObjectKinds[K]>>, asOf: Revision) => void
   /** Called when the store responds again after a failure, before its response is applied. */
   handleStoreRecovery?: () => void
 }
 
-/** Follows all objects of a kind: lists them, then watches their changes. After a failure it lists them again. */
+/** Follows all objects of a kind: lists them, then watches their changes. After a failure or a change of the store's epoch it lists them again. */
 export class KindWatch<K extends ObjectKind = ObjectKind> {
   readonly #options: WatchKindOptions<K>
   /** Revision up to which changes have been applied; `null` if the objects must be listed next. */
-  #knownRevision: number | null = null
+  #knownRevision: Revision | null = null
   #isStoreUnreachable = false
   #isStopped = false
   #consecutiveFailures = 0
@@ -39,18 +41,24 @@
   #lastChangeAtMs = -Infinity
   /** Stops waiting for the running watch; `undefined` while none is running. */
   #abandonWatch: (() => void) | undefined
+  #unsubscribeEpochs: (() => void) | undefined
 
   constructor (options: WatchKindOptions<K>) {
     this.#options = options
   }
 
   start (): void {
-    const { logger, kind } = this.#options
+    const { store, logger, kind } = this.#options
+    this.#unsubscribeEpochs = store.epochs.subscribe(() => {
+      this.#knownRevision = null
+      this.#abandonWatch?.()
+    })
     this.#run().catch((error: unknown) => logger.error('metadata watch failed unexpectedly', { kind, error: String(error) }))
   }
 
   stop (): void {
     this.#isStopped = true
+    this.#unsubscribeEpochs?.()
     this.#abandonWatch?.()
   }
 
@@ -69,12 +77,13 @@
   async #list (): Promise<void> {
     const { store, kind, applyListing } = this.#options
     const listing = await store.list(kind)
+    if (!this.#isOfCurrentEpoch(listing.asOf)) return
     this.#recordSuccess()
     applyListing(listing)
     this.#knownRevision = listing.asOf
   }
 
-  async #watch (revision: number): Promise<void> {
+  async #watch (revision: Revision): Promise<void> {
     const { store, kind, logger, waitMs = WATCH_TIMEOUT_MS, applyChanges } = this.#options
     const abandonment = new Promise<null>(resolve => { this.#abandonWatch = () => resolve(null) })
     const watchRequest: Promise<Changes<ObjectKinds[K]>> = store.watch(kind, revision, waitMs)
@@ -84,12 +93,17 @@
       watchRequest.catch((error: unknown) => logger.debug('abandoned metadata watch failed', { kind, reason: String(error) }))
       return
     }
+    if (!this.#isOfCurrentEpoch(result.asOf)) return
     this.#recordSuccess()
     applyChanges(result.changes, result.asOf)
     this.#knownRevision = result.asOf
     await this.#pauseAfterWatch(result.changes.length > 0)
   }
 
+  #isOfCurrentEpoch ({ epoch }: Revision): boolean {
+    return epoch === this.#options.store.epochs.current
+  }
+
   async #pauseAfterWatch (hasChanges: boolean): Promise<void> {
     const { pauseMs, coalesceMs = 0 } = this.#options
     if (pauseMs !== undefined) await waitFor(pauseMs)
@@ -115,6 +129,7 @@
     const { logger, kind } = this.#options
     this.#consecutiveFailures++
     this.#knownRevision = null
+    if (error instanceof EpochChangedError) return
     if (error instanceof HistoryGoneError) {
       logger.info('metadata store has dropped the change history; listing again', { kind })
       return
