Give out no fencing token twice, and let no lost claim act, when the store returns from an older copy

The fencing token was the revision of the claim's object. After a return from a copy made before a claim, the object is gone or older and its revisions are given out again: a second VM could claim at once while the first still acted on its claim, with the same token or a lower one.

- Token = epoch x 10^10 + revision number: unique and growing within an epoch by the conditional update, and above every token of an earlier epoch, whatever the copy lacks.
In epoch 0 tokens are what they were.
- An object that is missing in an epoch above 0, or whose value names another epoch, counts as a claim of a VM that may still act: it may be taken over 4 s after the VM saw the epoch change, or saw that revision.
The value names the epoch, as a call of the epoch before may be executed late over another VM's claim.
- A holder that knows of the return does not act on its claim.
If the claim is still in time it writes it again (ensureUsable) and goes on with the new token; nobody else can have claimed before the 4 s are over.
- On a change of the epoch each VM lists the claims once, so that later promotions don't wait.

Ruled out: asking the other VMs for the highest token, which needs an answer of every VM that may have claimed.

Within an epoch a claim still makes two calls (tested).

--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -1,6 +1,6 @@
 import type { Clock, Logger } from '@camphorpitch/wire'
 import { z } from 'zod'
-import { RevisionConflictError } from '../metadata/errors.ts'
+import { MetadataError, RevisionConflictError } from '../metadata/errors.ts'
 import type { MetadataStore, StoredObject } from '../metadata/metadata-store.ts'
 import { isSameRevision, type Revision } from '../metadata/revision.ts'
 
@@ -9,9 +9,18 @@
 /** The holder of a claim acts on it for at most this long, so that it stops well before another VM may take the claim over. */
 export const CLAIM_VALID_MS = 2_800
 
-const claimSchema = z.object({ holder: z.string().nullable(), incarnation: z.number() })
+const OBJECT_NAME_PREFIX = 'failover-'
+/** Number of fencing tokens per epoch of the store; larger than any revision number. */
+const TOKENS_PER_EPOCH = 10_000_000_000
 
-/** The right of one VM to change the primary of a service. Lapses after `CLAIM_VALID_MS`. */
+const claimSchema = z.object({
+  holder: z.string().nullable(),
+  incarnation: z.number(),
+  /** Epoch of the store in which the claim was written, as far as its holder knew. */
+  epoch: z.number().default(0)
+})
+
+/** The right of one VM to change the primary of a service. Lapses after `CLAIM_VALID_MS`, or when the store's epoch changes. */
 export interface Claim {
   service: string
   /** Grows with each claim of the service. */
@@ -29,71 +38,142 @@
   incarnation: number
 }
 
-/** Another VM's claim, with the time since when this VM has seen it unchanged. */
+/** A revision of a claim's object, with the time since when this VM has seen it unchanged. */
 interface ObservedClaim { revision: Revision, sinceMs: number }
 
 /**
  * Claims on the failover duty. Each service has one object in the store, which is changed by conditional updates only.
  *
- * The fencing token is the object's revision, so it grows with each claim of any VM.
+ * The fencing token consists of the epoch and the number of the object's revision, so it grows with each claim of any VM,
+ * even if the store returns from an older copy and assigns revision numbers again.
+ *
+ * After such a return the object may be older than the last claim, or overwritten by a call of the epoch before that was
+ * executed late. So an object that was not written in the store's epoch is treated like the claim of a VM that may still
+ * act on it.
  */
 export class DutyClaims {
   readonly #options: DutyClaimsOptions
   readonly #observed = new Map<string, ObservedClaim>()
+  /** When the store's epoch last changed; earlier claims of objects that its copy lacks were made before. */
+  #epochChange: { epoch: number, atMs: number } | undefined
 
   constructor (options: DutyClaimsOptions) {
     this.#options = options
+    options.store.epochs.subscribe(({ epoch }) => {
+      this.#epochChange = { epoch, atMs: options.clock.readNow() }
+      this.#recordClaims().catch((error: unknown) => options.logger.info('listing the failover claims failed', { reason: String(error) }))
+    })
   }
 
   /**
    * Claims the failover duty for a service.
    *
-   * @returns `null` if another VM holds the claim
+   * @returns `null` if another VM holds the claim, or may hold it
    * @throws MetadataError if the store did not respond
    */
   async claim (service: string): Promise<Claim | null> {
-    const { store, clock, vm, incarnation } = this.#options
-    const name = formatObjectName(service)
-    const current = await store.find('duties', name)
-    if (current !== undefined && !this.#isFree(service, current)) return null
-    const claimedAtMs = clock.readNow()
-    try {
-      const revision = await store.write('duties', name, { holder: vm, incarnation }, current?.revision ?? null)
-      this.#observed.delete(service)
-      return { service, fencingToken: revision.number, revision, claimedAtMs }
-    } catch (error) {
-      if (error instanceof RevisionConflictError) return null
-      throw error
-    }
+    const current = await this.#options.store.find('duties', formatObjectName(service))
+    return this.#isFree(service, current) ? await this.#write(service, current) : null
   }
 
   /** Whether this VM may still act on the claim. */
   isUsable (claim: Claim): boolean {
-    return this.#options.clock.readNow() - claim.claimedAtMs < CLAIM_VALID_MS
+    return this.#isInTime(claim) && claim.revision.epoch === this.#options.store.epochs.current
+  }
+
+  /**
+   * Ensures that this VM may act on the claim. If the store has returned from an older copy since, the claim is written again:
+   * while it is valid, no VM can have made another one, neither before the return nor after it.
+   *
+   * @returns the claim to use, with another fencing token if it was written again; `null` if it is no longer usable
+   * @throws MetadataError if the store did not respond
+   */
+  async ensureUsable (claim: Claim): Promise<Claim | null> {
+    if (this.isUsable(claim)) return claim
+    if (!this.#isInTime(claim)) return null
+    const { store, logger } = this.#options
+    const current = await store.find('duties', formatObjectName(claim.service))
+    const isClaimedAgain = current !== undefined && this.#isOfCurrentEpoch(current)
+    if (!this.#isInTime(claim) || isClaimedAgain) return null
+    const claimedAgain = await this.#write(claim.service, current)
+    if (claimedAgain !== null) logger.warn('failover claim written again, the metadata store has returned from an older copy', { service: claim.service, previousToken: claim.fencingToken, fencingToken: claimedAgain.fencingToken })
+    return claimedAgain
   }
 
   /** Releases the claim, so that other VMs need not wait until they may take it over. Failures are only logged. */
   async release (claim: Claim): Promise<void> {
     const { store, logger, incarnation } = this.#options
     try {
-      await store.write('duties', formatObjectName(claim.service), { holder: null, incarnation }, claim.revision)
+      await store.write('duties', formatObjectName(claim.service), { holder: null, incarnation, epoch: claim.revision.epoch }, claim.revision)
     } catch (error) {
       logger.info('releasing the failover claim failed', { service: claim.service, reason: String(error) })
     }
   }
 
-  #isFree (service: string, { revision, value }: StoredObject<unknown>): boolean {
-    const { clock, vm } = this.#options
-    const claim = claimSchema.safeParse(value)
-    if (!claim.success || claim.data.holder === null || claim.data.holder === vm) return true
+  #isInTime ({ claimedAtMs }: Claim): boolean {
+    return this.#options.clock.readNow() - claimedAtMs < CLAIM_VALID_MS
+  }
+
+  /** Writes a claim in place of what was found. @returns `null` if the object has changed since */
+  async #write (service: string, current: StoredObject<unknown> | undefined): Promise<Claim | null> {
+    const { store, clock, vm, incarnation } = this.#options
+    const claimedAtMs = clock.readNow()
+    try {
+      const revision = await store.write('duties', formatObjectName(service), { holder: vm, incarnation, epoch: store.epochs.current }, current?.revision ?? null)
+      this.#observed.delete(service)
+      return { service, fencingToken: computeFencingToken(revision), revision, claimedAtMs }
+    } catch (error) {
+      if (error instanceof RevisionConflictError) return null
+      throw error
+    }
+  }
+
+  #isFree (service: string, current: StoredObject<unknown> | undefined): boolean {
+    const { clock, vm, store } = this.#options
+    const epoch = store.epochs.current
+    if (current === undefined && epoch === 0) return true
+    const claim = claimSchema.safeParse(current?.value)
+    if (current !== undefined && this.#isOfCurrentEpoch(current) && (!claim.success || claim.data.holder === null || claim.data.holder === vm)) return true
     const nowMs = clock.readNow()
+    const sinceMs = this.#recordObserved(service, current?.revision ?? { epoch, number: 0 }, nowMs)
+    return nowMs - sinceMs >= CLAIM_TAKEOVER_MS
+  }
+
+  /** Whether the object was written in the store's epoch, by a VM that knew the epoch. */
+  #isOfCurrentEpoch ({ revision, value }: StoredObject<unknown>): boolean {
+    const { current } = this.#options.store.epochs
+    const claim = claimSchema.safeParse(value)
+    return revision.epoch === current && (claim.success ? claim.data.epoch : 0) === current
+  }
+
+  /** Reads since when this VM has seen a revision of a claim's object, and records it if it is new. The number 0 stands for no object. */
+  #recordObserved (service: string, revision: Revision, nowMs: number): number {
     const observed = this.#observed.get(service)
-    if (observed !== undefined && isSameRevision(observed.revision, revision)) return nowMs - observed.sinceMs >= CLAIM_TAKEOVER_MS
-    this.#observed.set(service, { revision, sinceMs: nowMs })
-    return false
+    if (observed !== undefined && isSameRevision(observed.revision, revision)) return observed.sinceMs
+    const isMissingSinceChange = revision.number === 0 && this.#epochChange?.epoch === revision.epoch
+    const sinceMs = isMissingSinceChange ? this.#epochChange!.atMs : nowMs
+    this.#observed.set(service, { revision, sinceMs })
+    return sinceMs
+  }
+
+  /** Observes all claims, so that the wait until they may be taken over begins now. */
+  async #recordClaims (): Promise<void> {
+    const { store, clock } = this.#options
+    const { items } = await store.list('duties')
+    for (const { name, revision } of items) this.#recordObserved(parseObjectName(name), revision, clock.readNow())
   }
 }
 
+function computeFencingToken ({ epoch, number }: Revision): number {
+  const token = epoch * TOKENS_PER_EPOCH + number
+  if (number >= TOKENS_PER_EPOCH || !Number.isSafeInteger(token)) throw new MetadataError(`no fencing token can be computed from epoch ${epoch}, revision ${number} of the metadata store`)
+  return token
+}
+
 function formatObjectName (service: string): string {
-  return `failover-${service}`
+  return `${OBJECT_NAME_PREFIX}${service}`
+}
+
+function parseObjectName (name: string): string {
+  return name.slice(OBJECT_NAME_PREFIX.length)
 }
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -169,11 +169,13 @@
 
 /** Requests the promotion and waits until it takes effect. @returns the endpoint, or `null` if it did not become primary */
 async function requestPromotion (attempt: Attempt, endpoint: string): Promise<string | null> {
-  const { host, group, claim } = attempt
-  if (!host.claims.isUsable(claim)) {
+  const { host, group } = attempt
+  const claim = await host.claims.ensureUsable(attempt.claim)
+  if (claim === null) {
     host.logger.warn('promotion cancelled, the failover claim has expired', { service: group.service })
     return null
   }
+  attempt.claim = claim
   const order = { service: group.service, endpoint, holder: host.vm, fencingToken: claim.fencingToken }
   const result = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
   host.logger.warn('promotion requested', { ...order, result })
