Keep endpoints that an older copy of the store lacks for the grace period, and draining ones draining

When the store returns from an older copy, entries that instances wrote since are missing until they write them again, within about two seconds.

A change of the epoch now counts as a recovery of the store: missing entries stay for two seconds from then, counted anew at the next return, and a draining endpoint stays draining for as long unless it has started again.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -161,6 +161,7 @@
 
 function startWatches ({ adapters: { store }, logger, clock, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
   const handleStoreRecovery = (): void => recordStoreRecovery(directory, clock.readNow())
+  store.epochs.subscribe(handleStoreRecovery)
   const endpointsWatch = watchKind({
     store,
     logger,
--- a/packages/gateway/src/directory/directory.test.ts
+++ b/packages/gateway/src/directory/directory.test.ts
@@ -46,4 +46,39 @@
     applyListing(state, { asOf: at(9), items: [createEntry('a')] }, 0)
     expect(applyListing(state, { asOf: at(5), items: [] }, 0)).to.deep.equal([])
   })
+
+  it('applies the listing of a store that returned from an older copy, though its revision is lower', () => {
+    const state = createDirectory()
+    applyListing(state, { asOf: at(90), items: [createEntry('a')] }, 0)
+    recordStoreRecovery(state, 10_000)
+    const listing = { asOf: at(50, 1), items: [createEntry('a'), createEntry('b')] }
+    expect(applyListing(state, listing, 10_000).map(c => [c.entry.endpoint, c.event])).to.deep.equal([['a', 'changed'], ['b', 'added']])
+    expect(applyListing(state, { asOf: at(95), items: [] }, 10_000)).to.deep.equal([])
+  })
+
+  it('keeps entries that a copy lacks for the grace period, through two returns in a row', () => {
+    const state = createDirectory()
+    applyListing(state, { asOf: at(90), items: [createEntry('a'), createEntry('b')] }, 0)
+    recordStoreRecovery(state, 10_000)
+    applyListing(state, { asOf: at(50, 1), items: [] }, 10_000)
+    expect(listEndpoints(state, 'orders')).to.have.lengthOf(2)
+    applyChanges(state, [{ object: createEntry('a'), isRemoved: false }], at(51, 1), 10_500)
+    recordStoreRecovery(state, 11_000)
+    applyListing(state, { asOf: at(40, 2), items: [] }, 11_000)
+    expect(removeExpiredLapsedEntries(state, 11_000 + LAPSED_ENTRY_GRACE_MS - 1).map(c => c.entry.endpoint)).to.deep.equal([])
+    expect(listEndpoints(state, 'orders')).to.have.lengthOf(2)
+    applyChanges(state, [{ object: createEntry('a'), isRemoved: false }], at(41, 2), 12_000)
+    removeExpiredLapsedEntries(state, 11_000 + LAPSED_ENTRY_GRACE_MS)
+    expect(listEndpoints(state, 'orders').map(e => e.endpoint)).to.deep.equal(['a'])
+  })
+
+  it('does not use an endpoint again that drains, though an older copy lists it as ready', () => {
+    const state = createDirectory()
+    applyListing(state, { asOf: at(90), items: [createEntry('a', { isDraining: true })] }, 0)
+    recordStoreRecovery(state, 10_000)
+    applyListing(state, { asOf: at(50, 1), items: [createEntry('a')] }, 10_000)
+    expect(listEndpoints(state, 'orders')[0]?.isDraining).to.equal(true)
+    applyChanges(state, [{ object: createEntry('a', { startedAtMs: 2 }), isRemoved: false }], at(51, 1), 10_100)
+    expect(listEndpoints(state, 'orders')[0]?.isDraining).to.equal(false)
+  })
 })
