--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -10,7 +10,8 @@
 import type { FleetMessage } from '../fleet/message-schemas.ts'
 import { isLeadershipRevoked } from '../freshness/group-state.ts'
 import { ServiceGroup } from '../groups/service-group.ts'
-import { MetadataError, type MetadataStore } from '../metadata/metadata-store.ts'
+import { MetadataError } from '../metadata/errors.ts'
+import type { MetadataStore } from '../metadata/metadata-store.ts'
 import { MemoryStore } from './memory-store.ts'
 import { SimulatedConnector, SimulatedGroup } from './simulated-group.ts'
 import { VirtualTime } from './virtual-time.ts'
@@ -162,7 +163,9 @@
   #createStore (): MetadataStore {
     const { store } = this.#fleet
     const ensureRunning = (): void => { if (!this.isRunning) throw new MetadataError('the VM has stopped') }
-    const access: Pick<MetadataStore, 'find' | 'write'> = {
+    const access: Pick<MetadataStore, 'epochs' | 'find' | 'list' | 'write'> = {
+      epochs: store.epochs,
+      list: async kind => { ensureRunning(); return await store.list(kind) },
       find: async (kind, name) => { ensureRunning(); return await store.find(kind, name) },
       write: async (kind, name, value, revision) => { ensureRunning(); return await store.write(kind, name, value, revision) }
     }
