Remember replicas that have left when a primary is replaced

What callers saw: a commit that only a departed replica had received was missing after a promotion (LOST).

Cause: a replica that left the group, or restarted without its log, was forgotten with its directory entry. A replica that this VM has not seen yet was not counted either. Class of fault: "all" taken from a local view.

Fix: each VM remembers the departures of a group (endpoint and start), and the end of the primary's log in its first response after it: no commit that only the departed replica had received lies beyond that. With every replica fenced, the candidate's log must reach it. A change of the primary resets the log ends. Confirmations of a revocation carry the endpoints and departures that the VM knows, so a VM that started later, or has not seen a replica, learns of it; an endpoint that only others know counts as unfenced. Departures of the primary itself do not count. New fields of the confirmation are optional, so VMs of the earlier build are understood.

Refused now: a promotion after a replica went, while the others have not been shown to hold what the primary's log held then (unless the VMs know every acknowledged position). It ends with the primary's next response and the time that a replica needs to receive it. `promotion candidates compared` shows `departures`, with `logEnd`, and `unknownReplicas`.

--- a/packages/gateway/src/failover/decide-promotion.ts
+++ b/packages/gateway/src/failover/decide-promotion.ts
@@ -1,4 +1,5 @@
 import { comparePositions, type LogPosition } from '@camphorpitch/wire'
+import { isCovering, type Departure } from '../groups/departures.ts'
 import { ENDPOINT_UNRESPONSIVE_AFTER_MS } from '../pool/endpoint-health.ts'
 
 /** An endpoint that has refused connections for this long counts as lost. */
@@ -85,6 +86,8 @@
   fenced: readonly FencedEndpoint[]
   /** Number of the group's replicas that could not be fenced. */
   unfencedReplicas: number
+  /** Replicas that have gone with their logs; none by default. */
+  departures?: ReadonlyArray<Pick<Departure, 'logEnd'>>
   /** Latest position that any VM knows to be acknowledged. */
   acknowledged: LogPosition | null
   /** Whether every VM that may be running has reported the latest acknowledged position it knows. */
@@ -95,16 +98,17 @@
  * Picks the endpoint to promote: one of the most advanced fenced endpoints, if possible not a draining one.
  *
  * Each acknowledged write is on the old primary and on at least one replica. So if every replica is fenced, the most advanced
- * one holds all acknowledged writes, unless a replica has lost its log in a restart. If a replica could not be fenced or has
- * started recently, the candidate must hold every position that the VMs know to be acknowledged.
+ * one holds all acknowledged writes, unless a replica has gone with its log or has lost it in a restart. The log must then reach
+ * what the primary's log held after that. If it does not, or a replica could not be fenced or has started recently, the candidate
+ * must hold every position that the VMs know to be acknowledged.
  *
  * @returns `undefined` if no choice is safe
  */
-export function pickCandidate ({ fenced, unfencedReplicas, acknowledged, hasEveryVmConfirmed }: CandidateOptions): FencedEndpoint | undefined {
+export function pickCandidate ({ fenced, unfencedReplicas, departures = [], acknowledged, hasEveryVmConfirmed }: CandidateOptions): FencedEndpoint | undefined {
   const hasOldPrimary = fenced.some(f => f.isOldPrimary)
   const latest = fenced.reduce<LogPosition | null>((max, f) => max === null || comparePositions(f.received, max) > 0 ? f.received : max, null)
   if (latest === null) return undefined
-  const hasEveryCommit = (hasOldPrimary && unfencedReplicas <= MAX_UNFENCED_BESIDE_PRIMARY) || (unfencedReplicas === 0 && fenced.every(f => f.ageMs >= RECENT_START_MS))
+  const hasEveryCommit = (hasOldPrimary && unfencedReplicas <= MAX_UNFENCED_BESIDE_PRIMARY) || (unfencedReplicas === 0 && fenced.every(f => f.ageMs >= RECENT_START_MS) && isCovering(latest, departures))
   const hasKnownCommits = hasEveryVmConfirmed && acknowledged !== null && comparePositions(latest, acknowledged) >= 0
   if (!hasEveryCommit && !hasKnownCommits) return undefined
   const mostAdvanced = fenced.filter(f => comparePositions(f.received, latest) === 0)
--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -111,4 +111,69 @@
       expect(await promoted).to.equal(null)
     })
   })
+
+  describe('after a replica has gone', () => {
+    /** The only commit is on `p` and `b`; `a` lacks it. Then `b` goes. */
+    async function setUpDeparture (depart: () => void): Promise<SimulatedVm> {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      fleet.group.find('a').isDeaf = true
+      vm1.commit()
+      await fleet.advance(50)
+      depart()
+      return vm1
+    }
+
+    function leave (endpoint: string): void {
+      fleet.group.endpoints.delete(endpoint)
+      for (const vm of fleet.vms.values()) vm.group.removeEntry(endpoint)
+    }
+
+    function restart (endpoint: string): void {
+      fleet.group.find(endpoint).startAgain()
+      fleet.group.find(endpoint).isDeaf = true
+      for (const vm of fleet.vms.values()) vm.addEndpoints(endpoint)
+    }
+
+    async function crashAndPromote (vm: SimulatedVm): Promise<string | null> {
+      fleet.group.find('p').isRunning = false
+      const promoted = vm.promote('primary lost')
+      await fleet.advance(6_000)
+      return await promoted
+    }
+
+    it('promotes no replica that lacks a commit which the departed one had received', async () => {
+      const vm = await setUpDeparture(() => leave('b'))
+      const promoted = await crashAndPromote(vm)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(promoted).to.equal(null)
+    })
+
+    it('promotes no replica that lacks a commit which another had received before it restarted without its log', async () => {
+      const vm = await setUpDeparture(() => restart('b'))
+      await fleet.advance(12_000)
+      const promoted = await crashAndPromote(vm)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(promoted).to.equal(null)
+    })
+
+    it('promotes no replica that lacks a commit of one that only another VM knows', async () => {
+      const vm = await setUpDeparture(() => { fleet.vms.get('vm2')!.group.removeEntry('b') })
+      vm.connector.unreachable.add('b')
+      const vm2 = fleet.vms.get('vm2')!
+      const promoted = await crashAndPromote(vm2)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(promoted).to.not.equal('a')
+    })
+
+    it('promotes a replica that has received the rest of the log since then', async () => {
+      const vm = await setUpDeparture(() => leave('b'))
+      fleet.group.find('a').isDeaf = false
+      await fleet.advance(50)
+      vm.commit()
+      await fleet.advance(50)
+      expect(await crashAndPromote(vm)).to.equal('a')
+      expect(fleet.group.lost).to.deep.equal([])
+    })
+  })
 })
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -3,6 +3,7 @@
 import type { Promoter } from '../backend/promoter.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import { LEADER_LEASE_MS, type KnownPrimary } from '../freshness/group-state.ts'
+import { formatStart, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import type { ControlCommand, ControlConnections } from './control-connections.ts'
@@ -33,6 +34,10 @@
   acknowledged: LogPosition | null
   /** Primary of the latest term that any of the VMs that confirmed knows; `null` if none knows one. */
   latestPrimary: KnownPrimary | null
+  /** The group's endpoints that the other VMs know. */
+  endpoints: readonly EndpointStart[]
+  /** Endpoints that the other VMs have seen leave the group. */
+  departures: readonly ReportedDeparture[]
 }
 
 /** What a promotion needs from the VM that runs it. */
@@ -113,9 +118,10 @@
     await waitForLeases(attempt, fencedAtMs)
     fenced = await verifyFence(attempt, fenced)
   }
-  const { endpoints, unfencedReplicas } = fenced
-  const candidate = pickCandidate({ fenced: endpoints, unfencedReplicas, ...revocation })
-  host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: endpoints, unfencedReplicas, ...revocation })
+  const { departures, unknownReplicas } = mergeEndpoints(attempt, revocation)
+  const unfencedReplicas = fenced.unfencedReplicas + unknownReplicas.length
+  const candidate = pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas, departures })
+  host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: fenced.endpoints, unfencedReplicas, unknownReplicas, departures, acknowledged: revocation.acknowledged, hasEveryVmConfirmed: revocation.hasEveryVmConfirmed })
   if (candidate === undefined) return null
   return await requestPromotion(attempt, candidate.endpoint)
 }
@@ -163,6 +169,25 @@
   throw new Error(`the primary to be replaced no longer leads: another VM knows ${latest.endpoint} as primary of term ${latest.term}`)
 }
 
+/**
+ * Lists the replicas that have left the group, and those that other VMs know and this one does not. Departures of the old primary do not
+ * count: its commits were received by a replica as well.
+ */
+function mergeEndpoints ({ group, knownPrimary }: Attempt, revocation: Revocation): { departures: ReportedDeparture[], unknownReplicas: EndpointStart[] } {
+  const present = new Set([...group.pools.values()].map(p => formatStart(p.entry)))
+  const departures = new Map(group.departures.map(({ endpoint, startedAtMs, logEnd }) => [formatStart({ endpoint, startedAtMs }), { endpoint, startedAtMs, logEnd }]))
+  for (const departure of revocation.departures) {
+    const key = formatStart(departure)
+    if (!present.has(key) && departures.get(key)?.logEnd == null) departures.set(key, departure)
+  }
+  const unknown = new Map(revocation.endpoints.map(e => [formatStart(e), e]))
+  const isReplica = ({ endpoint }: EndpointStart): boolean => endpoint !== knownPrimary?.endpoint
+  return {
+    departures: [...departures.values()].filter(isReplica),
+    unknownReplicas: [...unknown].filter(([key, e]) => !present.has(key) && !departures.has(key) && isReplica(e)).map(([, e]) => e)
+  }
+}
+
 /** The endpoints that receive nothing more from the old primary. */
 interface FencedGroup {
   endpoints: FencedEndpoint[]
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -3,6 +3,7 @@
 import type { FailoverWatch } from '../failover/failover-watch.ts'
 import type { PromotionHost, Revocation } from '../failover/run-promotion.ts'
 import { isLeadershipRevoked, recordLeadership, restoreLeadership, revokeLeadership } from '../freshness/group-state.ts'
+import type { EndpointStart, ReportedDeparture } from '../groups/departures.ts'
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { QuotaRecord } from '../limits/quota-record.ts'
@@ -112,7 +113,7 @@
   }
 
   #handleMessage (vm: string, message: FleetMessage): void {
-    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null })
+    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null, endpoints: message.endpoints, departures: message.departures })
     else if (message.type === 'promoted') this.#handlePromotionOutcome(vm, message)
     else if (message.type === 'permit') this.#fleet?.send(vm, this.#options.quotas.decidePermit(message))
     else if (message.type === 'configurationWanted') this.#sendConfiguration(vm)
@@ -135,7 +136,7 @@
       this.#options.logger.info('verified leadership revoked at the request of another vm', { service, endpoint, term, requestedBy: vm })
       await this.#revokeLocalLeadership(group, endpoint, term, isPlanned)
     }
-    this.#fleet?.send(vm, { type: 'revoked', service, attempt, acknowledged: group?.state.acknowledged ?? undefined, primary: group?.state.primary ?? undefined })
+    this.#fleet?.send(vm, { type: 'revoked', service, attempt, acknowledged: group?.state.acknowledged ?? undefined, primary: group?.state.primary ?? undefined, ...listEndpointStarts(group, endpoint) })
   }
 
   async #revokeLocalLeadership (group: ServiceGroup, endpoint: string, term: number, isPlanned: boolean): Promise<void> {
@@ -151,7 +152,8 @@
     const confirmations = this.#revocations.collect(attempt, vms, waitMs)
     for (const vm of vms) this.#fleet?.send(vm, { type: 'revoke', service: group.service, endpoint, term, attempt, isPlanned })
     await this.#revokeLocalLeadership(group, endpoint, term, isPlanned)
-    return addConfirmation(await confirmations, group.state)
+    const { acknowledged, primary } = group.state
+    return addConfirmation(await confirmations, { acknowledged, primary, endpoints: [], departures: [] })
   }
 
   #publishPromotionOutcome (group: ServiceGroup, endpoint: string | null, term: number, leadershipVerifiedAtMs: number): void {
@@ -174,3 +176,11 @@
     if (vm !== this.#options.self.vm) this.#fleet?.poll() // The promoting VM's report carries the proof that the new primary leads.
   }
 }
+
+/** Lists the group's endpoints, and those that have left it. Log ends of a primary other than `primaryEndpoint` tell nothing of its log. */
+function listEndpointStarts (group: ServiceGroup | undefined, primaryEndpoint: string): { endpoints: EndpointStart[], departures: ReportedDeparture[] } {
+  const isSamePrimary = group?.state.primary?.endpoint === primaryEndpoint
+  const endpoints = [...group?.pools.values() ?? []].map(({ entry: { endpoint, startedAtMs } }) => ({ endpoint, startedAtMs }))
+  const departures = (group?.departures ?? []).map(({ endpoint, startedAtMs, logEnd }) => ({ endpoint, startedAtMs, logEnd: isSamePrimary ? logEnd : null }))
+  return { endpoints, departures }
+}
--- a/packages/gateway/src/fleet/message-schemas.ts
+++ b/packages/gateway/src/fleet/message-schemas.ts
@@ -101,7 +101,11 @@
   /** Latest position that the sender knows to be acknowledged. */
   acknowledged: logPositionSchema.optional(),
   /** The primary that the sender knows, and its term. */
-  primary: z.object({ endpoint: z.string(), term: z.number().int() }).optional()
+  primary: z.object({ endpoint: z.string(), term: z.number().int() }).optional(),
+  /** The group's endpoints that the sender knows. */
+  endpoints: z.array(z.object({ endpoint: z.string(), startedAtMs: z.number() })).default([]),
+  /** Endpoints that the sender has seen leave the group or restart without their logs. */
+  departures: z.array(z.object({ endpoint: z.string(), startedAtMs: z.number(), logEnd: logPositionSchema.nullable() })).default([])
 })
 /** A promoting VM announces the outcome of its attempt. */
 export const promotedSchema = z.object({
--- a/packages/gateway/src/fleet/revocations.ts
+++ b/packages/gateway/src/fleet/revocations.ts
@@ -1,12 +1,16 @@
 import { pickLaterPosition, type LogPosition } from '@camphorpitch/wire'
 import type { Revocation } from '../failover/run-promotion.ts'
 import type { KnownPrimary } from '../freshness/group-state.ts'
+import type { EndpointStart, ReportedDeparture } from '../groups/departures.ts'
 
 /** What a VM knows of a group when it confirms a revocation. */
 export interface Confirmation {
   /** Latest position that the VM knows to be acknowledged. */
   acknowledged: LogPosition | null
   primary: KnownPrimary | null
+  /** The group's endpoints that the VM knows. */
+  endpoints: readonly EndpointStart[]
+  departures: readonly ReportedDeparture[]
 }
 
 interface PendingRevocation extends Omit<Revocation, 'hasEveryVmConfirmed'> {
@@ -15,12 +19,14 @@
 }
 
 /** Adds what a VM knows to what the others have confirmed with. */
-export function addConfirmation<T extends Omit<Revocation, 'hasEveryVmConfirmed'>> (revocation: T, { acknowledged, primary }: Confirmation): T {
+export function addConfirmation<T extends Omit<Revocation, 'hasEveryVmConfirmed'>> (revocation: T, { acknowledged, primary, endpoints, departures }: Confirmation): T {
   const isLater = primary !== null && primary.term > (revocation.latestPrimary?.term ?? -1)
   return {
     ...revocation,
     acknowledged: acknowledged === null ? revocation.acknowledged : pickLaterPosition(revocation.acknowledged, acknowledged),
-    latestPrimary: isLater ? primary : revocation.latestPrimary
+    latestPrimary: isLater ? primary : revocation.latestPrimary,
+    endpoints: [...revocation.endpoints, ...endpoints],
+    departures: [...revocation.departures, ...departures]
   }
 }
 
@@ -30,7 +36,7 @@
 
   /** Waits until all VMs have confirmed an attempt, at most for `waitMs` milliseconds. */
   async collect (attempt: string, vms: readonly string[], waitMs: number): Promise<Revocation> {
-    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, latestPrimary: null, finish: () => {} }
+    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, latestPrimary: null, endpoints: [], departures: [], finish: () => {} }
     this.#pending.set(attempt, revocation)
     await new Promise<void>(resolve => {
       const timer = setTimeout(resolve, waitMs)
@@ -41,8 +47,8 @@
       if (vms.length === 0) revocation.finish()
     })
     this.#pending.delete(attempt)
-    const { acknowledged, latestPrimary } = revocation
-    return { hasEveryVmConfirmed: revocation.unconfirmedVms.size === 0, acknowledged, latestPrimary }
+    const { acknowledged, latestPrimary, endpoints, departures } = revocation
+    return { hasEveryVmConfirmed: revocation.unconfirmedVms.size === 0, acknowledged, latestPrimary, endpoints, departures }
   }
 
   /** Records a VM's confirmation; one for an attempt that is not being collected is ignored. */
--- /dev/null
+++ b/packages/gateway/src/groups/departures.ts
@@ -0,0 +1,57 @@
+import { comparePositions, type LogPosition } from '@camphorpitch/wire'
+import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+
+/** Departures kept for a group; the oldest is dropped first. */
+const MAX_DEPARTURES = 64
+
+/** An endpoint that was removed from the directory, or that started again without its log. */
+export interface Departure {
+  endpoint: string
+  startedAtMs: number
+  /** Time on this VM's clock at which it was noticed. */
+  noticedAtMs: number
+  /**
+   * End of the primary's log at a time after the departure: no commit that only this endpoint had received lies beyond it.
+   * `null` while the primary has not responded since.
+   */
+  logEnd: LogPosition | null
+}
+
+/** One start of an endpoint; the endpoint may start again under the same name without its log. */
+export type EndpointStart = Pick<EndpointEntry, 'endpoint' | 'startedAtMs'>
+/** A departure as one VM reports it to another. */
+export type ReportedDeparture = Omit<Departure, 'noticedAtMs'>
+
+/** Formats a key for one start of an endpoint. */
+export function formatStart ({ endpoint, startedAtMs }: EndpointStart): string {
+  return `${endpoint}@${startedAtMs}`
+}
+
+/** Adds a departure. */
+export function addDeparture (departures: Departure[], { endpoint, startedAtMs }: EndpointEntry, nowMs: number): void {
+  departures.push({ endpoint, startedAtMs, noticedAtMs: nowMs, logEnd: null })
+  if (departures.length > MAX_DEPARTURES) departures.shift()
+}
+
+/** Forgets the log ends, because another endpoint leads now: the earlier ones may lie before its log's end at the time of a departure. */
+export function resetLogEnds (departures: readonly Departure[]): void {
+  for (const departure of departures) departure.logEnd = null
+}
+
+/** Removes the departure of an endpoint that has come back with its log. */
+export function removeDeparture (departures: Departure[], { endpoint, startedAtMs }: EndpointEntry): void {
+  const index = departures.findIndex(d => d.endpoint === endpoint && d.startedAtMs === startedAtMs)
+  if (index >= 0) departures.splice(index, 1)
+}
+
+/** Records the end of the primary's log in its response to a statement that was sent at `sentAtMs`. */
+export function recordLogEnd (departures: readonly Departure[], position: LogPosition, sentAtMs: number): void {
+  for (const departure of departures) {
+    if (departure.logEnd === null && sentAtMs >= departure.noticedAtMs) departure.logEnd = position
+  }
+}
+
+/** Whether a log up to `position` holds every commit that only departed endpoints had received. */
+export function isCovering (position: LogPosition, departures: ReadonlyArray<Pick<Departure, 'logEnd'>>): boolean {
+  return departures.every(({ logEnd }) => logEnd !== null && comparePositions(position, logEnd) >= 0)
+}
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -7,6 +7,7 @@
 import { recordResponse, recordSent, recordNoResponse } from '../pool/endpoint-health.ts'
 import { EndpointPool } from '../pool/endpoint-pool.ts'
 import { waitAtMost } from '../runtime/wait-at-most.ts'
+import { addDeparture, recordLogEnd, removeDeparture, resetLogEnds, type Departure } from './departures.ts'
 
 /** A draining endpoint gets no new work after this long, although it continues to serve for some seconds more. */
 export const MAX_DRAINING_USE_MS = 4_000
@@ -42,6 +43,8 @@
   writesInFlight = 0
   /** Last report of each other VM about the primary, by VM name. */
   readonly peers = new Map<string, PeerReport>()
+  /** Endpoints that have gone, or restarted without their logs, since this VM started; the oldest first. */
+  readonly departures: Departure[] = []
   /** Time since when no primary is known; `null` while one is. */
   withoutPrimarySinceMs: number | null
   readonly #options: ServiceGroupOptions
@@ -71,6 +74,8 @@
   updateEntry (entry: EndpointEntry): void {
     const { clock, connector, logger, readLimits, recordOpened } = this.#options
     const pool = this.pools.get(entry.endpoint)
+    if (pool !== undefined && pool.entry.startedAtMs !== entry.startedAtMs) addDeparture(this.departures, pool.entry, clock.readNow())
+    removeDeparture(this.departures, entry)
     if (pool !== undefined && pool.entry.address === entry.address) pool.updateEntry(entry)
     else {
       pool?.stop()
@@ -81,7 +86,9 @@
   }
 
   removeEntry (endpoint: string): void {
-    this.pools.get(endpoint)?.stop()
+    const pool = this.pools.get(endpoint)
+    pool?.stop()
+    if (pool !== undefined) addDeparture(this.departures, pool.entry, this.#options.clock.readNow())
     this.pools.delete(endpoint)
     this.#publishChange()
   }
@@ -98,6 +105,7 @@
     if (previous?.endpoint !== endpoint) {
       this.unansweredWriteSinceMs = null
       this.peers.clear()
+      resetLogEnds(this.departures)
     }
     this.withoutPrimarySinceMs = null
     this.#options.logger.info('primary changed', { service: this.service, endpoint, term, source, previousPrimary: previous })
@@ -156,6 +164,7 @@
     if (primary?.endpoint !== endpoint) return
     if (position !== null && position.term > primary.term) this.adoptPrimary(endpoint, position.term, 'answer')
     recordPrimaryResponse(this.state, endpoint, sentAtMs, position, nowMs)
+    if (position !== null) recordLogEnd(this.departures, position, sentAtMs)
   }
 
   /** Waits until `isDone` returns true, for at most `waitMs`. It is checked after each change of the group. @returns whether the condition was met */
