Trust the known acknowledged positions only if no VM has forgotten one

What callers saw: with a replica that does not answer, another replica was promoted without a commit that a client of a restarted or stopped VM had been given (LOST).

Cause: where a replica could not be fenced, the candidate had to hold the latest acknowledged position that the running VMs know. A VM that was killed and started again, or that had left after SIGTERM, no longer counted as one that knows something. Class of fault: absence of knowledge taken as knowledge of absence.

Fix: every VM confirms a revocation with its uptime and the age of its latest acknowledged commit, measured from when it was sent. The known positions count only if such a commit was sent after the last start of any VM that confirmed, and after this VM last saw another go or restart: its position then lies beyond everything that was forgotten. An earlier build tells no uptime and counts as just started.

Refused now: with an unfenced, just started or uncovered departed replica, a promotion while no commit has been acknowledged since a VM started, stopped or left; `promotion candidates compared` shows `hasEveryAcknowledgement` false. A crash of the primary with every replica reachable does not need it.

Tests, on the code before: `after a restart of the VM` and `after the VM has left` failed with `a lacks 1.2`; `relies on them once a later commit has been acknowledged` passed before and after.

--- a/packages/gateway/src/failover/decide-promotion.ts
+++ b/packages/gateway/src/failover/decide-promotion.ts
@@ -92,6 +92,8 @@
   acknowledged: LogPosition | null
   /** Whether every VM that may be running has reported the latest acknowledged position it knows. */
   hasEveryVmConfirmed: boolean
+  /** Whether that covers the positions of VMs that have stopped or restarted. */
+  hasEveryAcknowledgement?: boolean
 }
 
 /**
@@ -104,14 +106,22 @@
  *
  * @returns `undefined` if no choice is safe
  */
-export function pickCandidate ({ fenced, unfencedReplicas, departures = [], acknowledged, hasEveryVmConfirmed }: CandidateOptions): FencedEndpoint | undefined {
-  const hasOldPrimary = fenced.some(f => f.isOldPrimary)
+export function pickCandidate (options: CandidateOptions): FencedEndpoint | undefined {
+  const { fenced } = options
   const latest = fenced.reduce<LogPosition | null>((max, f) => max === null || comparePositions(f.received, max) > 0 ? f.received : max, null)
-  if (latest === null) return undefined
-  const hasEveryCommit = (hasOldPrimary && unfencedReplicas <= MAX_UNFENCED_BESIDE_PRIMARY) || (unfencedReplicas === 0 && fenced.every(f => f.ageMs >= RECENT_START_MS) && isCovering(latest, departures))
-  const hasKnownCommits = hasEveryVmConfirmed && acknowledged !== null && comparePositions(latest, acknowledged) >= 0
-  if (!hasEveryCommit && !hasKnownCommits) return undefined
+  if (latest === null || !(hasEveryCommit(options, latest) || hasKnownCommits(options, latest))) return undefined
   const mostAdvanced = fenced.filter(f => comparePositions(f.received, latest) === 0)
   const preferred = mostAdvanced.filter(f => !f.isDraining && !f.isOldPrimary)
   return preferred[0] ?? mostAdvanced.find(f => !f.isDraining) ?? mostAdvanced[0]
 }
+
+/** Whether a log up to `latest` holds every acknowledged commit because no other log can hold more. */
+function hasEveryCommit ({ fenced, unfencedReplicas, departures = [] }: CandidateOptions, latest: LogPosition): boolean {
+  if (fenced.some(f => f.isOldPrimary) && unfencedReplicas <= MAX_UNFENCED_BESIDE_PRIMARY) return true
+  return unfencedReplicas === 0 && fenced.every(f => f.ageMs >= RECENT_START_MS) && isCovering(latest, departures)
+}
+
+/** Whether a log up to `latest` holds every acknowledged commit because the VMs know of none beyond it. */
+function hasKnownCommits ({ acknowledged, hasEveryVmConfirmed, hasEveryAcknowledgement = true }: CandidateOptions, latest: LogPosition): boolean {
+  return hasEveryVmConfirmed && hasEveryAcknowledgement && acknowledged !== null && comparePositions(latest, acknowledged) >= 0
+}
--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -176,4 +176,56 @@
       expect(fleet.group.lost).to.deep.equal([])
     })
   })
+
+  describe('after a VM has lost what it knew', () => {
+    /** The last commit is on `p` and on `b`, which does not respond. Only vm1 knew of it. */
+    async function setUpForgottenCommit (forget: (vm1: SimulatedVm) => void): Promise<SimulatedVm> {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      vm2.commit()
+      await fleet.advance(50)
+      fleet.group.find('a').isDeaf = true
+      vm1.commit()
+      await fleet.advance(50)
+      forget(vm1)
+      fleet.group.find('b').isRunning = false
+      fleet.group.find('p').isRunning = false
+      return vm2
+    }
+
+    function restart (vm: SimulatedVm): void {
+      vm.kill()
+      fleet.startVm(vm.name).addEndpoints()
+    }
+
+    it('does not rely on the acknowledged positions of the others after a restart of the VM', async () => {
+      const vm2 = await setUpForgottenCommit(restart)
+      const promoted = vm2.promote('primary lost')
+      await fleet.advance(6_000)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await promoted).to.equal(null)
+    })
+
+    it('does not rely on the acknowledged positions of the others after the VM has left', async () => {
+      const vm2 = await setUpForgottenCommit(vm1 => vm1.leave())
+      const promoted = vm2.promote('primary lost')
+      await fleet.advance(6_000)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await promoted).to.equal(null)
+    })
+
+    it('relies on them once a later commit has been acknowledged', async () => {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      restart(vm1)
+      await fleet.advance(100)
+      vm2.commit()
+      await fleet.advance(50)
+      fleet.group.find('b').isRunning = false
+      fleet.group.find('p').isRunning = false
+      const promoted = vm2.promote('primary lost')
+      await fleet.advance(6_000)
+      expect(await promoted).to.equal('a')
+    })
+  })
 })
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -30,6 +30,11 @@
 export interface Revocation {
   /** Whether every VM that may be running has confirmed. */
   hasEveryVmConfirmed: boolean
+  /**
+   * Whether no acknowledged position can lie beyond `acknowledged`: every VM has confirmed, and a commit was sent and acknowledged
+   * after a VM last stopped or restarted and forgot what it knew.
+   */
+  hasEveryAcknowledgement: boolean
   /** Latest position that any of the VMs that confirmed knows to be acknowledged; `null` if none knows one. */
   acknowledged: LogPosition | null
   /** Primary of the latest term that any of the VMs that confirmed knows; `null` if none knows one. */
@@ -121,7 +126,7 @@
   const { departures, unknownReplicas } = mergeEndpoints(attempt, revocation)
   const unfencedReplicas = fenced.unfencedReplicas + unknownReplicas.length
   const candidate = pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas, departures })
-  host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: fenced.endpoints, unfencedReplicas, unknownReplicas, departures, acknowledged: revocation.acknowledged, hasEveryVmConfirmed: revocation.hasEveryVmConfirmed })
+  host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: fenced.endpoints, unfencedReplicas, unknownReplicas, departures, acknowledged: revocation.acknowledged, hasEveryVmConfirmed: revocation.hasEveryVmConfirmed, hasEveryAcknowledgement: revocation.hasEveryAcknowledgement })
   if (candidate === undefined) return null
   return await requestPromotion(attempt, candidate.endpoint)
 }
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -12,7 +12,7 @@
 import type { Fleet, FleetOptions, Poll } from './fleet.ts'
 import { applyReportedVersion, createConfigurationFetch, resetConfigurationFetch } from './configuration-fetch.ts'
 import { applyGroupReport, createGroupReport } from './group-reports.ts'
-import { listRecentlyResponsive, listPossiblyRunning, type MemberState } from './members.ts'
+import { createMemberLosses, listRecentlyResponsive, listPossiblyRunning, updateMemberLosses, type MemberLosses, type MemberState } from './members.ts'
 import { decodeGroupReport, encodeGroupReport, type FleetMessage, type Report, type VmEntry } from './message-schemas.ts'
 import { addConfirmation, RevocationCollector } from './revocations.ts'
 
@@ -36,6 +36,8 @@
 export class FleetMessageHandler {
   readonly #options: FleetMessageHandlerOptions
   readonly #revocations = new RevocationCollector()
+  readonly #startedAtMs: number
+  readonly #losses: MemberLosses
   readonly #configurationFetch = createConfigurationFetch()
   #fleet: Fleet | undefined
   #failover: FailoverWatch | undefined
@@ -44,6 +46,8 @@
 
   constructor (options: FleetMessageHandlerOptions) {
     this.#options = options
+    this.#startedAtMs = options.clock.readNow()
+    this.#losses = createMemberLosses(this.#startedAtMs)
     options.configuration.subscribe(() => resetConfigurationFetch(this.#configurationFetch))
   }
 
@@ -66,6 +70,7 @@
         for (const group of groups.list()) group.peers.delete(vm)
       },
       handleRound: () => {
+        updateMemberLosses(this.#losses, this.#options.members, this.#options.clock.readNow())
         quotas.update()
         quotaRecord.update()
       }
@@ -113,7 +118,7 @@
   }
 
   #handleMessage (vm: string, message: FleetMessage): void {
-    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null, endpoints: message.endpoints, departures: message.departures })
+    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null, endpoints: message.endpoints, departures: message.departures, lastCommitAgeMs: message.lastCommitAgeMs ?? Infinity, uptimeMs: message.uptimeMs })
     else if (message.type === 'promoted') this.#handlePromotionOutcome(vm, message)
     else if (message.type === 'permit') this.#fleet?.send(vm, this.#options.quotas.decidePermit(message))
     else if (message.type === 'configurationWanted') this.#sendConfiguration(vm)
@@ -136,7 +141,18 @@
       this.#options.logger.info('verified leadership revoked at the request of another vm', { service, endpoint, term, requestedBy: vm })
       await this.#revokeLocalLeadership(group, endpoint, term, isPlanned)
     }
-    this.#fleet?.send(vm, { type: 'revoked', service, attempt, acknowledged: group?.state.acknowledged ?? undefined, primary: group?.state.primary ?? undefined, ...listEndpointStarts(group, endpoint) })
+    const nowMs = this.#options.clock.readNow()
+    const lastCommitSentAtMs = group?.state.lastCommitSentAtMs ?? -Infinity
+    this.#fleet?.send(vm, {
+      type: 'revoked',
+      service,
+      attempt,
+      acknowledged: group?.state.acknowledged ?? undefined,
+      primary: group?.state.primary ?? undefined,
+      ...listEndpointStarts(group, endpoint),
+      lastCommitAgeMs: lastCommitSentAtMs === -Infinity ? undefined : nowMs - lastCommitSentAtMs,
+      uptimeMs: nowMs - this.#startedAtMs
+    })
   }
 
   async #revokeLocalLeadership (group: ServiceGroup, endpoint: string, term: number, isPlanned: boolean): Promise<void> {
@@ -148,12 +164,19 @@
     const { clock, members, self } = this.#options
     const endpoint = group.state.primary?.endpoint ?? ''
     const attempt = `${self.vm}-${self.incarnation}-${++this.#lastAttemptNumber}`
-    const vms = listPossiblyRunning(members, clock.readNow()).map(m => m.entry.vm)
+    const sentAtMs = clock.readNow()
+    updateMemberLosses(this.#losses, members, sentAtMs)
+    const vms = listPossiblyRunning(members, sentAtMs).map(m => m.entry.vm)
     const confirmations = this.#revocations.collect(attempt, vms, waitMs)
     for (const vm of vms) this.#fleet?.send(vm, { type: 'revoke', service: group.service, endpoint, term, attempt, isPlanned })
     await this.#revokeLocalLeadership(group, endpoint, term, isPlanned)
-    const { acknowledged, primary } = group.state
-    return addConfirmation(await confirmations, { acknowledged, primary, endpoints: [], departures: [] })
+    const { acknowledged, primary, lastCommitSentAtMs } = group.state
+    const revocation = addConfirmation(await confirmations, { acknowledged, primary, endpoints: [], departures: [], lastCommitAgeMs: sentAtMs - lastCommitSentAtMs, uptimeMs: Infinity })
+    const finishedAtMs = clock.readNow()
+    updateMemberLosses(this.#losses, members, finishedAtMs)
+    const lastLossAtMs = Math.max(this.#losses.lastLossAtMs, finishedAtMs - revocation.uptimeMs)
+    const isEveryMemberAsked = vms.length === members.members.size
+    return { ...revocation, hasEveryAcknowledgement: revocation.hasEveryVmConfirmed && isEveryMemberAsked && sentAtMs - revocation.lastCommitAgeMs > lastLossAtMs }
   }
 
   #publishPromotionOutcome (group: ServiceGroup, endpoint: string | null, term: number, leadershipVerifiedAtMs: number): void {
--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -129,3 +129,22 @@
   const localHash = hashPair(serviceHash, hashName(state.self.vm))
   return listResponsive(state, nowMs).filter(m => hashPair(serviceHash, hashName(m.entry.vm)) < localHash).length
 }
+
+/** When a VM last stopped, left or restarted: positions that only it knew to be acknowledged are lost. */
+export interface MemberLosses {
+  lastLossAtMs: number
+  /** Incarnations of the members when they were last compared. */
+  incarnations: Map<string, number>
+}
+
+/** @param startedAtMs start of this VM, which knows nothing of before */
+export function createMemberLosses (startedAtMs: number): MemberLosses {
+  return { lastLossAtMs: startedAtMs, incarnations: new Map() }
+}
+
+/** Records whether a VM has gone or restarted since the last call. */
+export function updateMemberLosses (losses: MemberLosses, { members }: MemberState, nowMs: number): void {
+  const hasLoss = [...losses.incarnations].some(([vm, incarnation]) => members.get(vm)?.entry.incarnation !== incarnation)
+  if (hasLoss) losses.lastLossAtMs = nowMs
+  losses.incarnations = new Map([...members].map(([vm, { entry }]) => [vm, entry.incarnation]))
+}
--- a/packages/gateway/src/fleet/message-schemas.ts
+++ b/packages/gateway/src/fleet/message-schemas.ts
@@ -105,7 +105,11 @@
   /** The group's endpoints that the sender knows. */
   endpoints: z.array(z.object({ endpoint: z.string(), startedAtMs: z.number() })).default([]),
   /** Endpoints that the sender has seen leave the group or restart without their logs. */
-  departures: z.array(z.object({ endpoint: z.string(), startedAtMs: z.number(), logEnd: logPositionSchema.nullable() })).default([])
+  departures: z.array(z.object({ endpoint: z.string(), startedAtMs: z.number(), logEnd: logPositionSchema.nullable() })).default([]),
+  /** Age of the sender's latest acknowledged commit; absent without one. */
+  lastCommitAgeMs: z.number().optional(),
+  /** Time since the sender's start. */
+  uptimeMs: z.number().default(0)
 })
 /** A promoting VM announces the outcome of its attempt. */
 export const promotedSchema = z.object({
--- a/packages/gateway/src/fleet/revocations.ts
+++ b/packages/gateway/src/fleet/revocations.ts
@@ -11,22 +11,36 @@
   /** The group's endpoints that the VM knows. */
   endpoints: readonly EndpointStart[]
   departures: readonly ReportedDeparture[]
+  /** Age of the VM's latest acknowledged commit; `Infinity` if it has none. */
+  lastCommitAgeMs: number
+  /** Time since the VM's start; 0 if it is not known. */
+  uptimeMs: number
 }
 
-interface PendingRevocation extends Omit<Revocation, 'hasEveryVmConfirmed'> {
+/** What the VMs have confirmed a revocation with. */
+export interface Confirmations extends Omit<Revocation, 'hasEveryAcknowledgement'> {
+  /** Age of the latest acknowledged commit of any VM. */
+  lastCommitAgeMs: number
+  /** Time since the latest start of any VM. */
+  uptimeMs: number
+}
+
+interface PendingRevocation extends Omit<Confirmations, 'hasEveryVmConfirmed'> {
   unconfirmedVms: Set<string>
   finish: () => void
 }
 
 /** Adds what a VM knows to what the others have confirmed with. */
-export function addConfirmation<T extends Omit<Revocation, 'hasEveryVmConfirmed'>> (revocation: T, { acknowledged, primary, endpoints, departures }: Confirmation): T {
+export function addConfirmation<T extends Omit<Confirmations, 'hasEveryVmConfirmed'>> (revocation: T, { acknowledged, primary, endpoints, departures, lastCommitAgeMs, uptimeMs }: Confirmation): T {
   const isLater = primary !== null && primary.term > (revocation.latestPrimary?.term ?? -1)
   return {
     ...revocation,
     acknowledged: acknowledged === null ? revocation.acknowledged : pickLaterPosition(revocation.acknowledged, acknowledged),
     latestPrimary: isLater ? primary : revocation.latestPrimary,
     endpoints: [...revocation.endpoints, ...endpoints],
-    departures: [...revocation.departures, ...departures]
+    departures: [...revocation.departures, ...departures],
+    lastCommitAgeMs: Math.min(revocation.lastCommitAgeMs, lastCommitAgeMs),
+    uptimeMs: Math.min(revocation.uptimeMs, uptimeMs)
   }
 }
 
@@ -35,8 +49,8 @@
   readonly #pending = new Map<string, PendingRevocation>()
 
   /** Waits until all VMs have confirmed an attempt, at most for `waitMs` milliseconds. */
-  async collect (attempt: string, vms: readonly string[], waitMs: number): Promise<Revocation> {
-    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, latestPrimary: null, endpoints: [], departures: [], finish: () => {} }
+  async collect (attempt: string, vms: readonly string[], waitMs: number): Promise<Confirmations> {
+    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, latestPrimary: null, endpoints: [], departures: [], lastCommitAgeMs: Infinity, uptimeMs: Infinity, finish: () => {} }
     this.#pending.set(attempt, revocation)
     await new Promise<void>(resolve => {
       const timer = setTimeout(resolve, waitMs)
@@ -47,8 +61,8 @@
       if (vms.length === 0) revocation.finish()
     })
     this.#pending.delete(attempt)
-    const { acknowledged, latestPrimary, endpoints, departures } = revocation
-    return { hasEveryVmConfirmed: revocation.unconfirmedVms.size === 0, acknowledged, latestPrimary, endpoints, departures }
+    const { unconfirmedVms, finish, ...confirmations } = revocation
+    return { ...confirmations, hasEveryVmConfirmed: unconfirmedVms.size === 0 }
   }
 
   /** Records a VM's confirmation; one for an attempt that is not being collected is ignored. */
--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -33,6 +33,8 @@
   /** Latest position known to be acknowledged. */
   acknowledged: LogPosition | null
   acknowledgedAtMs: number
+  /** Time at which this VM sent the latest of its commits that were acknowledged with a position. */
+  lastCommitSentAtMs: number
   /** Time of the primary's last response to this VM. */
   lastResponseAtMs: number
   /** Until then the primary's leadership is revoked, as confirmed to the VM that runs a promotion. */
@@ -41,7 +43,7 @@
 
 /** @example createGroupState('orders') */
 export function createGroupState (service: string): GroupState {
-  return { service, primary: null, leadershipLeaseEndsMs: -Infinity, samples: [], acknowledged: null, acknowledgedAtMs: -Infinity, lastResponseAtMs: -Infinity, revokedUntilMs: -Infinity }
+  return { service, primary: null, leadershipLeaseEndsMs: -Infinity, samples: [], acknowledged: null, acknowledgedAtMs: -Infinity, lastCommitSentAtMs: -Infinity, lastResponseAtMs: -Infinity, revokedUntilMs: -Infinity }
 }
 
 /**
@@ -92,7 +94,9 @@
   if (state.primary?.endpoint !== endpoint) return
   recordLeadership(state, endpoint, sentAtMs)
   state.acknowledgedAtMs = nowMs
-  if (position !== null) recordAcknowledgedPosition(state, position)
+  if (position === null) return
+  recordAcknowledgedPosition(state, position)
+  state.lastCommitSentAtMs = Math.max(state.lastCommitSentAtMs, sentAtMs)
 }
 
 /** Records a position that was acknowledged to this or another VM. */
--- a/packages/gateway/src/testing/simulated-group.ts
+++ b/packages/gateway/src/testing/simulated-group.ts
@@ -117,12 +117,15 @@
     })
   }
 
-  /** Makes an endpoint the primary of the next term with the log that it has, as the platform does. Records the acknowledged commits that it lacks. */
-  promote (name: string): void {
+  /**
+   * Makes an endpoint the primary of the next term with the log that it has, as the platform does, unless it has stopped or restarted
+   * since it was ordered at `orderedAtMs`. Records the acknowledged commits that it lacks.
+   */
+  promote (name: string, orderedAtMs = Infinity): void {
     const candidate = this.endpoints.get(name)
-    if (candidate?.isRunning !== true || candidate === this.leader) return
-    const missing = this.acknowledged.filter(p => !candidate.hasReceived(p))
-    if (missing.length > 0) this.lost.push(`${name} lacks ${missing.map(p => `${p.term}.${p.index}`).join(', ')}`)
+    if (candidate?.isRunning !== true || candidate === this.leader || candidate.startedAtMs > orderedAtMs) return
+    const missing = this.acknowledged.filter(p => !candidate.hasReceived(p)).map(p => `${p.term}.${p.index}`)
+    if (missing.length > 0) this.lost.push(`${name} lacks ${missing.length > 6 ? `${missing.length} commits, ${missing[0]!} to ${missing.at(-1)!}` : missing.join(', ')}`)
     const term = Math.max(...[...this.endpoints.values()].map(e => e.term)) + 1
     Object.assign(candidate, { role: 'primary', term, pausedForTerm: 0 })
     setTimeout(() => {
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -186,7 +186,8 @@
       await new Promise(resolve => setTimeout(resolve, timeoutMs))
       return 'unknown'
     }
-    setTimeout(() => this.#fleet.group.promote(order.endpoint), PROMOTION_DELAY_MS)
+    const orderedAtMs = Date.now()
+    setTimeout(() => this.#fleet.group.promote(order.endpoint, orderedAtMs), PROMOTION_DELAY_MS)
     return 'accepted'
   }
 }
