--- a/packages/gateway/src/failover/decide-promotion.ts
+++ b/packages/gateway/src/failover/decide-promotion.ts
@@ -1,4 +1,5 @@
 import { comparePositions, type LogPosition } from '@camphorpitch/wire'
+import { isCovering, type Departure } from '../groups/departures.ts'
 import { ENDPOINT_UNRESPONSIVE_AFTER_MS } from '../pool/endpoint-health.ts'
 
 /** An endpoint that has refused connections for this long counts as lost. */
@@ -85,29 +86,42 @@
   fenced: readonly FencedEndpoint[]
   /** Number of the group's replicas that could not be fenced. */
   unfencedReplicas: number
+  /** Replicas that have gone with their logs; none by default. */
+  departures?: ReadonlyArray<Pick<Departure, 'logEnd'>>
   /** Latest position that any VM knows to be acknowledged. */
   acknowledged: LogPosition | null
   /** Whether every VM that may be running has reported the latest acknowledged position it knows. */
   hasEveryVmConfirmed: boolean
+  /** Whether that covers the positions of VMs that have stopped or restarted. */
+  hasEveryAcknowledgement?: boolean
 }
 
 /**
  * Picks the endpoint to promote: one of the most advanced fenced endpoints, if possible not a draining one.
  *
  * Each acknowledged write is on the old primary and on at least one replica. So if every replica is fenced, the most advanced
- * one holds all acknowledged writes, unless a replica has lost its log in a restart. If a replica could not be fenced or has
- * started recently, the candidate must hold every position that the VMs know to be acknowledged.
+ * one holds all acknowledged writes, unless a replica has gone with its log or has lost it in a restart. The log must then reach
+ * what the primary's log held after that. If it does not, or a replica could not be fenced or has started recently, the candidate
+ * must hold every position that the VMs know to be acknowledged.
  *
  * @returns `undefined` if no choice is safe
  */
-export function pickCandidate ({ fenced, unfencedReplicas, acknowledged, hasEveryVmConfirmed }: CandidateOptions): FencedEndpoint | undefined {
-  const hasOldPrimary = fenced.some(f => f.isOldPrimary)
+export function pickCandidate (options: CandidateOptions): FencedEndpoint | undefined {
+  const { fenced } = options
   const latest = fenced.reduce<LogPosition | null>((max, f) => max === null || comparePositions(f.received, max) > 0 ? f.received : max, null)
-  if (latest === null) return undefined
-  const hasEveryCommit = (hasOldPrimary && unfencedReplicas <= MAX_UNFENCED_BESIDE_PRIMARY) || (unfencedReplicas === 0 && fenced.every(f => f.ageMs >= RECENT_START_MS))
-  const hasKnownCommits = hasEveryVmConfirmed && acknowledged !== null && comparePositions(latest, acknowledged) >= 0
-  if (!hasEveryCommit && !hasKnownCommits) return undefined
+  if (latest === null || !(hasEveryCommit(options, latest) || hasKnownCommits(options, latest))) return undefined
   const mostAdvanced = fenced.filter(f => comparePositions(f.received, latest) === 0)
   const preferred = mostAdvanced.filter(f => !f.isDraining && !f.isOldPrimary)
   return preferred[0] ?? mostAdvanced.find(f => !f.isDraining) ?? mostAdvanced[0]
 }
+
+/** Whether a log up to `latest` holds every acknowledged commit because no other log can hold more. */
+function hasEveryCommit ({ fenced, unfencedReplicas, departures = [] }: CandidateOptions, latest: LogPosition): boolean {
+  if (fenced.some(f => f.isOldPrimary) && unfencedReplicas <= MAX_UNFENCED_BESIDE_PRIMARY) return true
+  return unfencedReplicas === 0 && fenced.every(f => f.ageMs >= RECENT_START_MS) && isCovering(latest, departures)
+}
+
+/** Whether a log up to `latest` holds every acknowledged commit because the VMs know of none beyond it. */
+function hasKnownCommits ({ acknowledged, hasEveryVmConfirmed, hasEveryAcknowledgement = true }: CandidateOptions, latest: LogPosition): boolean {
+  return hasEveryVmConfirmed && hasEveryAcknowledgement && acknowledged !== null && comparePositions(latest, acknowledged) >= 0
+}
--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -111,4 +111,121 @@
       expect(await promoted).to.equal(null)
     })
   })
+
+  describe('after a replica has gone', () => {
+    /** The only commit is on `p` and `b`; `a` lacks it. Then `b` goes. */
+    async function setUpDeparture (depart: () => void): Promise<SimulatedVm> {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      fleet.group.find('a').isDeaf = true
+      vm1.commit()
+      await fleet.advance(50)
+      depart()
+      return vm1
+    }
+
+    function leave (endpoint: string): void {
+      fleet.group.endpoints.delete(endpoint)
+      for (const vm of fleet.vms.values()) vm.group.removeEntry(endpoint)
+    }
+
+    function restart (endpoint: string): void {
+      fleet.group.find(endpoint).startAgain()
+      fleet.group.find(endpoint).isDeaf = true
+      for (const vm of fleet.vms.values()) vm.addEndpoints(endpoint)
+    }
+
+    async function crashAndPromote (vm: SimulatedVm): Promise<string | null> {
+      fleet.group.find('p').isRunning = false
+      const promoted = vm.promote('primary lost')
+      await fleet.advance(6_000)
+      return await promoted
+    }
+
+    it('promotes no replica that lacks a commit which the departed one had received', async () => {
+      const vm = await setUpDeparture(() => leave('b'))
+      const promoted = await crashAndPromote(vm)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(promoted).to.equal(null)
+    })
+
+    it('promotes no replica that lacks a commit which another had received before it restarted without its log', async () => {
+      const vm = await setUpDeparture(() => restart('b'))
+      await fleet.advance(12_000)
+      const promoted = await crashAndPromote(vm)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(promoted).to.equal(null)
+    })
+
+    it('promotes no replica that lacks a commit of one that only another VM knows', async () => {
+      const vm = await setUpDeparture(() => { fleet.vms.get('vm2')!.group.removeEntry('b') })
+      vm.connector.unreachable.add('b')
+      const vm2 = fleet.vms.get('vm2')!
+      const promoted = await crashAndPromote(vm2)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(promoted).to.not.equal('a')
+    })
+
+    it('promotes a replica that has received the rest of the log since then', async () => {
+      const vm = await setUpDeparture(() => leave('b'))
+      fleet.group.find('a').isDeaf = false
+      await fleet.advance(50)
+      vm.commit()
+      await fleet.advance(50)
+      expect(await crashAndPromote(vm)).to.equal('a')
+      expect(fleet.group.lost).to.deep.equal([])
+    })
+  })
+
+  describe('after a VM has lost what it knew', () => {
+    /** The last commit is on `p` and on `b`, which does not respond. Only vm1 knew of it. */
+    async function setUpForgottenCommit (forget: (vm1: SimulatedVm) => void): Promise<SimulatedVm> {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      vm2.commit()
+      await fleet.advance(50)
+      fleet.group.find('a').isDeaf = true
+      vm1.commit()
+      await fleet.advance(50)
+      forget(vm1)
+      fleet.group.find('b').isRunning = false
+      fleet.group.find('p').isRunning = false
+      return vm2
+    }
+
+    function restart (vm: SimulatedVm): void {
+      vm.kill()
+      fleet.startVm(vm.name).addEndpoints()
+    }
+
+    it('does not rely on the acknowledged positions of the others after a restart of the VM', async () => {
+      const vm2 = await setUpForgottenCommit(restart)
+      const promoted = vm2.promote('primary lost')
+      await fleet.advance(6_000)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await promoted).to.equal(null)
+    })
+
+    it('does not rely on the acknowledged positions of the others after the VM has left', async () => {
+      const vm2 = await setUpForgottenCommit(vm1 => vm1.leave())
+      const promoted = vm2.promote('primary lost')
+      await fleet.advance(6_000)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await promoted).to.equal(null)
+    })
+
+    it('relies on them once a later commit has been acknowledged', async () => {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      restart(vm1)
+      await fleet.advance(100)
+      vm2.commit()
+      await fleet.advance(50)
+      fleet.group.find('b').isRunning = false
+      fleet.group.find('p').isRunning = false
+      const promoted = vm2.promote('primary lost')
+      await fleet.advance(6_000)
+      expect(await promoted).to.equal('a')
+    })
+  })
 })
