End client sessions without cutting a statement that is on its way

Callers saw their connection end without an answer around a planned stop, a withdrawn key or a dropped database. The gateway closed a session as soon as it looked idle. Idle was measured from the statements it had processed: one that was still on its way, or that had arrived while the event loop was busy, was dropped, as due timers run before sockets are read. Three more places closed a session with statements queued: more than 256 of them, a message that is too large, and the client's own end of the session behind a running statement.

All places now end a session in one way. An idle client is told with an error that its session ends (a promise to retry, or the refusal of its key or database) and closes the connection itself, as the protocol has it. A statement that crosses the notice is not run; its client takes the notice as the error in response to it, and the gateway completes the response, so the promise holds. The notice then goes out again, for the next statement of a client that sends ahead. A client that does not close is disconnected after a time, once everything that has arrived is answered, and not while a message is arriving. Statements beyond the queue wait in the connection: input is paused instead of the session being closed, and also while the client does not take its responses. A message that is too large is answered in its turn. A session that waits for its admission counts as busy. A key that is valid again withdraws the end of its session.

The test 'does not run a statement that arrives after the session was closed' becomes one on the notice, which also demands the answer.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -115,7 +115,7 @@
       isDraining = true
       const startedAtMs = clock.readNow()
       const logStep = (step: string): void => { logger.info(step, { sinceStopMs: Math.round(clock.readNow() - startedAtMs) }) }
-      await drainSessions({ clock, logger, graceMs: settings.graceS * MS_PER_SECOND, listSessions: () => [...sessions] })
+      await drainSessions({ clock, logger, startedAtMs, graceMs: settings.graceS * MS_PER_SECOND, listSessions: () => [...sessions] })
       clearInterval(maintenanceTimer)
       for (const w of watches) w.stop()
       failover.stop()
--- a/packages/gateway/src/clients/client-listener.ts
+++ b/packages/gateway/src/clients/client-listener.ts
@@ -25,7 +25,20 @@
   /** Refuses the session and closes the connection. */
   abstract sendRefusal (error: ResponseError): void
   abstract sendResponse (response: ClientResponse): void
+  /**
+   * Tells an idle client that its session ends. A client whose statement is on its way takes the notice for the error in
+   * response to that statement; `sendNoticeCompletion` completes the response.
+   */
+  abstract sendEndNotice (error: ResponseError): void
+  /** Completes the notice as the response to a statement that has crossed it. No transaction is open then. */
+  abstract sendNoticeCompletion (): void
+  /** Stops reading from the client until `resumeInput`. */
+  abstract pauseInput (): void
+  abstract resumeInput (): void
+  /** Ends the connection after all responses; the client's input is still read. */
   abstract close (): void
+  /** Ends the connection at once; responses that the client has not taken are lost. */
+  abstract destroy (): void
   abstract readInputState (): InputState
 }
 
@@ -36,7 +49,7 @@
   handleStatement: (statement: ClientStatement) => void
   /** Handles a message that could not be decoded. */
   handleMalformed: (reason: string) => void
-  /** Handles a message above the maximum size, after which the connection is closed. */
+  /** Handles a message above the maximum size, after which no further message is read. */
   handleTooLarge: () => void
   /** Handles the client's message that ends the session. */
   handleTerminate: () => void
--- a/packages/gateway/src/drain/drain.test.ts
+++ b/packages/gateway/src/drain/drain.test.ts
@@ -1,9 +1,10 @@
 import { Clock, createLogger } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import type { SessionActivity } from '../sessions/session-end.ts'
-import { drainSessions } from './drain.ts'
+import { drainSessions, type DrainOptions } from './drain.ts'
 
 const logger = createLogger({ process: 'test', level: 'silent' })
+const GRACE_MS = 6_000
 
 class VirtualClock extends Clock {
   nowMs = 0
@@ -11,23 +12,37 @@
 }
 
 class FakeSession {
-  isBusy = true
+  activity: SessionActivity = 'inTransaction'
   idleMs = 0
   isEnded = false
-  get activity (): SessionActivity { return this.isBusy ? 'inTransaction' : 'idle' }
-  closeWhenIdle (): void { if (!this.isBusy) this.isEnded = true }
-  endTransaction (): void { this.isBusy = false }
+  /** Whether its client closes the connection when it is told. */
+  closesWhenTold = true
+  timeoutMs = 0
+  get isBusy (): boolean { return this.activity === 'busy' || this.activity === 'inTransaction' }
+  end ({ computeTimeoutMs }: { computeTimeoutMs: () => number }): void {
+    if (this.isBusy) return
+    this.timeoutMs ||= computeTimeoutMs()
+    this.isEnded ||= this.closesWhenTold
+    this.activity = 'closing'
+  }
+
+  endTransaction (): void { if (this.activity === 'inTransaction') this.activity = 'idle' }
 }
 
-/** Drains while `runClients` does what the clients do at each time. @returns when the drain ended, in milliseconds */
-async function runDrain (sessions: Set<FakeSession>, runClients: (nowMs: number) => void): Promise<number> {
+function createSession (values: Partial<FakeSession>): FakeSession {
+  return Object.assign(new FakeSession(), values)
+}
+
+/** Runs `step` while `runClients` does what the clients do at each time. @returns when the step ended, in milliseconds */
+async function runStep (step: (options: DrainOptions) => Promise<void>, sessions: Set<FakeSession>, runClients: (nowMs: number) => void = () => {}, startMs = 0): Promise<number> {
   const clock = new VirtualClock()
+  clock.nowMs = startMs
   const pause = async (ms: number): Promise<void> => {
     clock.nowMs += ms
     runClients(clock.nowMs)
     for (const s of sessions) if (s.isEnded) sessions.delete(s)
   }
-  await drainSessions({ clock, logger, graceMs: 6_000, listSessions: () => [...sessions], pause })
+  await step({ clock, logger, startedAtMs: 0, graceMs: GRACE_MS, listSessions: () => [...sessions], pause })
   return clock.nowMs
 }
 
@@ -35,7 +50,7 @@
   it('serves a client that connects shortly before the drain would have ended', async () => {
     const sessions = new Set<FakeSession>()
     const lateSession = new FakeSession()
-    const endedAtMs = await runDrain(sessions, nowMs => {
+    const endedAtMs = await runStep(drainSessions, sessions, nowMs => {
       if (nowMs === 2_150) sessions.add(lateSession)
       if (nowMs === 3_050) lateSession.isEnded = true
     })
@@ -44,20 +59,27 @@
   })
 
   it('keeps idle sessions open until the load balancer has removed the VM', async () => {
-    const idleSession = new FakeSession()
-    idleSession.isBusy = false
-    idleSession.idleMs = 10_000
-    const sessions = new Set([idleSession])
-    let closedAtMs = 0
-    await runDrain(sessions, nowMs => { if (idleSession.isEnded && closedAtMs === 0) closedAtMs = nowMs })
-    expect(closedAtMs).to.be.greaterThan(2_000)
+    const idleSession = createSession({ activity: 'idle', idleMs: 10_000 })
+    let endedAtMs = 0
+    await runStep(drainSessions, new Set([idleSession]), nowMs => { if (idleSession.isEnded && endedAtMs === 0) endedAtMs = nowMs })
+    expect(endedAtMs).to.be.greaterThan(2_000)
   })
 
   it('ends an open transaction after half of the grace period', async () => {
     const busySession = new FakeSession()
-    const sessions = new Set([busySession])
     let endedAtMs = 0
-    await runDrain(sessions, nowMs => { if (!busySession.isBusy && endedAtMs === 0) endedAtMs = nowMs })
+    await runStep(drainSessions, new Set([busySession]), nowMs => { if (!busySession.isBusy && endedAtMs === 0) endedAtMs = nowMs })
     expect(endedAtMs).to.be.within(3_000, 3_100)
   })
+
+  it('gives a client that was told half of the time that is left to close its connection', async () => {
+    const session = createSession({ activity: 'idle', idleMs: 10_000, closesWhenTold: false })
+    await runStep(drainSessions, new Set([session]))
+    expect(session.timeoutMs).to.be.within(1_000, 2_000)
+  })
+
+  it('ends soon after its last session', async () => {
+    const sessions = new Set([createSession({ activity: 'idle', idleMs: 10_000 }), createSession({ activity: 'notStarted', idleMs: 10_000 })])
+    expect(await runStep(drainSessions, sessions)).to.be.below(3_000)
+  })
 })
--- a/packages/gateway/src/sessions/client-session.test.ts
+++ b/packages/gateway/src/sessions/client-session.test.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo } from 'node:net'
 import { createLogger } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import type { ResponseError, ClientStatement } from '../backend/statement.ts'
@@ -6,6 +8,7 @@
 import type { Operation, Outcome } from '../statements/operation.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
 import { ClientSession } from './client-session.ts'
+import type { SessionEnd, SessionEnding } from './session-end.ts'
 import type { SessionHost } from './session-host.ts'
 
 const configuration: Configuration = {
@@ -15,19 +18,31 @@
   workspaces: [{ name: 'lab', keys: ['k'] }],
   transactionIdleMs: 3_000
 }
+const withoutKey: Configuration = { ...configuration, version: 2, workspaces: [] }
+const withoutDatabase: Configuration = { ...configuration, version: 2, routes: [] }
+const CLOSE_TIMEOUT_MS = 20
 
+/** Records what is sent: `welcome`, `refusal CODE`, `error CODE STATE`, `rows STATE`, `notice CODE`, `completion`, `close` and `destroy`. */
 class RecordingTransport extends ClientTransport {
-  readonly responses: ClientResponse[] = []
-  isClosed = false
-  override sendWelcome (): void {}
-  override sendRefusal (): void { this.isClosed = true }
-  override sendResponse (response: ClientResponse): void { this.responses.push(response) }
-  override close (): void { this.isClosed = true }
-  override readInputState (): InputState { return { incompleteBytes: 0, sinceLastByteMs: null } }
+  readonly sent: string[] = []
+  isPaused = false
+  input: InputState = { incompleteBytes: 0, sinceLastByteMs: null }
+  override sendWelcome (): void { this.sent.push('welcome') }
+  override sendRefusal ({ code }: ResponseError): void { this.sent.push(`refusal ${code}`) }
+  override sendResponse ({ error = null, state }: ClientResponse): void { this.sent.push(error === null ? `rows ${state}` : `error ${error.code} ${state}`) }
+  override sendEndNotice ({ code }: ResponseError): void { this.sent.push(`notice ${code}`) }
+  override sendNoticeCompletion (): void { this.sent.push('completion') }
+  override pauseInput (): void { this.isPaused = true }
+  override resumeInput (): void { this.isPaused = false }
+  override close (): void { this.sent.push('close') }
+  override destroy (): void { this.sent.push('destroy') }
+  override readInputState (): InputState { return this.input }
 }
 
-function createHost (run: (operation: Operation) => Promise<Outcome>): SessionHost {
+function createHost (run: (operation: Operation) => Promise<Outcome>): SessionHost & { ends: SessionEnd[] } {
+  const ends: SessionEnd[] = []
   return {
+    ends,
     clock: new VirtualClock(),
     logger: createLogger({ process: 'test', level: 'silent' }),
     waitForConfiguration: async () => configuration,
@@ -38,44 +53,199 @@
     runWrite: run,
     openTransaction: async () => ({ refusal: { code: 'busy', text: '' } }),
     recordOutcome: () => {},
-    recordSessionEnd: () => {},
+    recordSessionEnd: end => { ends.push(end) },
     removeSession: () => {}
   }
 }
 
+const success: Outcome = { response: { rows: [], signature: 'x', error: null, state: 'idle', position: null }, endpoint: 'e' }
+const ending: SessionEnding = { cause: 'drain', error: { code: 'busy', text: 'the VM stops' }, computeTimeoutMs: () => CLOSE_TIMEOUT_MS }
 const writeStatement: ClientStatement = { id: '7f', text: 'WRITE 1 x', type: 'write' }
+const beginStatement: ClientStatement = { id: '81', text: 'BEGIN', type: 'begin', isReadOnly: false }
 const waitForEventLoopTurn = async (): Promise<void> => await new Promise(resolve => setImmediate(resolve))
+const waitFor = async (ms: number): Promise<void> => await new Promise(resolve => setTimeout(resolve, ms))
 
-describe('client session', () => {
-  it('does not run a statement that arrives after the session was closed', async () => {
-    const executedIds: string[] = []
-    const transport = new RecordingTransport()
-    const session = new ClientSession('s', createHost(async operation => {
-      executedIds.push(operation.statement.id)
-      return { refusal: { code: 'busy', text: '' } }
-    }), transport)
-    session.handleStartup('orders', 'k')
+interface StartedSession {
+  session: ClientSession
+  transport: RecordingTransport
+  ends: SessionEnd[]
+  executedIds: string[]
+  /** Lets the running statement succeed. */
+  finish: () => Promise<void>
+}
+
+/** Starts a session whose statements run until `finish` is called. */
+async function startSession (): Promise<StartedSession> {
+  const executedIds: string[] = []
+  let resolveOutcome: (outcome: Outcome) => void = () => {}
+  const host = createHost(async ({ statement }) => {
+    executedIds.push(statement.id)
+    return await new Promise(resolve => { resolveOutcome = resolve })
+  })
+  const transport = new RecordingTransport()
+  const session = new ClientSession('s', host, transport)
+  session.handleStartup('orders', 'k')
+  await waitForEventLoopTurn()
+  transport.sent.length = 0
+  const finish = async (): Promise<void> => {
+    resolveOutcome(success)
     await waitForEventLoopTurn()
-    session.closeWhenIdle()
-    expect(transport.isClosed).to.equal(true)
+  }
+  return { session, transport, ends: host.ends, executedIds, finish }
+}
+
+describe('client session', () => {
+  it('does not run statements that cross the notice of its end, and answers each of them', async () => {
+    const { session, transport, executedIds } = await startSession()
+    session.end(ending)
+    expect(transport.sent).to.deep.equal(['notice busy'])
     session.handleStatement(writeStatement)
+    session.handleStatement({ id: '8', text: 'SET a b', type: 'setValue', name: 'a', value: 'b' })
+    session.handleMalformed('unknown message')
     await waitForEventLoopTurn()
     expect(executedIds).to.deep.equal([])
+    expect(transport.sent).to.deep.equal(['notice busy', 'completion', 'notice busy', 'completion', 'notice busy', 'completion', 'notice busy'])
+    session.handleClose()
+  })
+
+  it('sends the response to a running statement before it ends', async () => {
+    const { session, transport, finish } = await startSession()
+    session.handleStatement(writeStatement)
+    await waitForEventLoopTurn()
+    session.end(ending)
+    expect(transport.sent).to.deep.equal([])
+    await finish()
+    expect(transport.sent).to.deep.equal(['rows idle', 'notice busy'])
+    session.handleClose()
+  })
+
+  it('lets an open transaction end before it tells the client', async () => {
+    const { session, transport } = await startSession()
+    session.handleStatement(beginStatement)
+    await waitForEventLoopTurn()
+    session.end(ending)
+    session.handleStatement({ id: '82', text: 'ROLLBACK', type: 'rollback' })
+    await waitForEventLoopTurn()
+    expect(transport.sent).to.deep.equal(['rows open', 'rows idle', 'notice busy'])
+    session.handleClose()
+  })
+
+  it('closes the connection of a client that does not, and destroys it if it does not end', async () => {
+    const { session, transport, ends } = await startSession()
+    session.end(ending)
+    await waitFor(CLOSE_TIMEOUT_MS * 4)
+    expect(transport.sent).to.deep.equal(['notice busy', 'close', 'destroy'])
+    session.handleClose()
+    expect(ends[0]).to.include({ cause: 'drain', answered: 0 })
+  })
+
+  it('does not close the connection while a message is arriving', async () => {
+    const { session, transport } = await startSession()
+    session.end(ending)
+    transport.input = { incompleteBytes: 12, sinceLastByteMs: 1 }
+    await waitFor(CLOSE_TIMEOUT_MS * 3)
+    session.handleStatement(writeStatement)
+    expect(transport.sent).to.deep.equal(['notice busy', 'completion', 'notice busy'])
+    session.handleClose()
+  })
+
+  it('answers a statement that waits unread when the time to close its connection has come', async () => {
+    const { session, transport } = await startSession()
+    const server = createServer(socket => socket.on('data', () => session.handleStatement(writeStatement))).listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    await Promise.all([once(client, 'connect'), once(server, 'connection')])
+    session.end(ending)
+    client.write('x')
+    const endsAtMs = performance.now() + 2 * CLOSE_TIMEOUT_MS
+    while (performance.now() < endsAtMs);
+    await waitFor(CLOSE_TIMEOUT_MS)
+    expect(transport.sent.slice(0, 4)).to.deep.equal(['notice busy', 'completion', 'notice busy', 'close'])
+    session.handleClose()
+    client.destroy()
+    server.close()
+  })
+
+  for (const { change, version, code } of [{ change: 'key', version: withoutKey, code: 'noAuth' }, { change: 'database', version: withoutDatabase, code: 'noDatabase' }]) {
+    it(`tells the client when its ${change} is no longer valid, and does not run a statement that crosses the notice`, async () => {
+      const { session, transport, executedIds } = await startSession()
+      session.applyConfiguration(version)
+      session.handleStatement(writeStatement)
+      expect(transport.sent).to.deep.equal([`notice ${code}`, 'completion', `notice ${code}`])
+      expect(executedIds).to.deep.equal([])
+      session.handleClose()
+    })
+  }
+
+  it('tells a busy client that its key is no longer valid once it is idle, unless the key is valid again', async () => {
+    const { session, transport, finish } = await startSession()
+    session.handleStatement(writeStatement)
+    await waitForEventLoopTurn()
+    session.applyConfiguration(withoutKey)
+    session.applyConfiguration(configuration)
+    await finish()
+    expect(transport.sent).to.deep.equal(['rows idle'])
+    session.handleStatement(writeStatement)
+    await waitForEventLoopTurn()
+    session.applyConfiguration(withoutKey)
+    await finish()
+    expect(transport.sent).to.deep.equal(['rows idle', 'rows idle', 'notice noAuth'])
+    session.applyConfiguration(configuration)
+    session.handleStatement(writeStatement)
+    expect(transport.sent.slice(3)).to.deep.equal(['completion', 'notice busy'])
+    session.handleClose()
+  })
+
+  it('reads no more input while many statements are queued, and answers all of them', async () => {
+    const { session, transport, finish } = await startSession()
+    session.handleStatement(writeStatement)
+    for (let i = 0; i < 300; i++) session.handleStatement({ id: `s${i}`, text: 'SET a b', type: 'setValue', name: 'a', value: 'b' })
+    expect(transport.isPaused).to.equal(true)
+    await waitForEventLoopTurn()
+    await finish()
+    while (transport.sent.length < 301) await waitForEventLoopTurn()
+    expect(transport.isPaused).to.equal(false)
+    expect(transport.sent).to.have.length(301)
+    session.handleClose()
+  })
+
+  it('refuses a startup that crosses the notice of its end', async () => {
+    const transport = new RecordingTransport()
+    const session = new ClientSession('s', createHost(async () => success), transport)
+    session.end(ending)
+    session.handleStartup('orders', 'k')
+    await waitForEventLoopTurn()
+    expect(transport.sent).to.deep.equal(['notice busy', 'close'])
+    session.handleClose()
   })
 
-  it('sends the response to a running statement before it closes', async () => {
-    let finish: (outcome: Outcome) => void = () => {}
+  it('answers a startup whose admission was under way when its end was requested', async () => {
     const transport = new RecordingTransport()
-    const session = new ClientSession('s', createHost(async () => await new Promise(resolve => { finish = resolve })), transport)
+    const session = new ClientSession('s', createHost(async () => success), transport)
     session.handleStartup('orders', 'k')
+    session.end(ending)
     await waitForEventLoopTurn()
+    expect(transport.sent).to.deep.equal(['welcome', 'notice busy'])
+    session.handleClose()
+  })
+
+  it('finishes its statements before it ends at its client\'s request', async () => {
+    const { session, transport, finish } = await startSession()
     session.handleStatement(writeStatement)
+    session.handleTerminate()
     await waitForEventLoopTurn()
-    session.closeWhenIdle()
-    expect(transport.isClosed).to.equal(false)
-    finish({ response: { rows: [], signature: 'x', error: null, state: 'idle', position: null }, endpoint: 'e' })
+    await finish()
+    expect(transport.sent).to.deep.equal(['rows idle', 'close'])
+    session.handleClose()
+  })
+
+  it('answers the statements before a message that is too large', async () => {
+    const { session, transport, finish } = await startSession()
+    session.handleStatement(writeStatement)
+    session.handleTooLarge()
     await waitForEventLoopTurn()
-    expect(transport.responses).to.have.length(1)
-    expect(transport.isClosed).to.equal(true)
+    await finish()
+    expect(transport.sent).to.deep.equal(['rows idle', 'error tooLarge idle', 'close'])
+    session.handleClose()
   })
 })
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -2,17 +2,23 @@
 import type { ResponseError, ClientStatement } from '../backend/statement.ts'
 import type { ClientResponse, ClientEvents, ClientTransport } from '../clients/client-listener.ts'
 import type { Configuration, Route } from '../configuration/configuration.ts'
-import type { Operation, Outcome } from '../statements/operation.ts'
+import { createRetryRefusal, type Operation, type Outcome } from '../statements/operation.ts'
 import type { PinnedTransaction } from '../statements/pinned-transaction.ts'
-import { authenticate } from './authenticate.ts'
+import { authenticate, type Admission } from './authenticate.ts'
 import { createSessionState, decideStatement, type StatementPlan } from './decide-statement.ts'
-import type { SessionActivity, SessionEndCause } from './session-end.ts'
+import { SessionCloser } from './session-closer.ts'
+import type { SessionActivity, SessionEndCause, SessionEnding } from './session-end.ts'
 import type { SessionHost } from './session-host.ts'
 
-/** Maximum number of statements that a client may send ahead of their responses. */
+/** Number of queued statements from which on no more of the client's input is read. */
 const MAX_QUEUED_STATEMENTS = 256
+/** Number of queued statements at which reading goes on. */
+const RESUME_QUEUED_STATEMENTS = 64
+/** Time for a client to close its connection after it was told that its session ends, unless the VM stops. */
+const CLOSE_TIMEOUT_MS = 2_000
 
-type QueuedStatement = ClientStatement | { malformed: string }
+/** A statement, or a message that is answered with an error in its place; `endsSession` if no further message can be read. */
+type QueuedStatement = ClientStatement | { error: ResponseError, endsSession: boolean }
 
 /** The session of one client connection. Runs its statements one at a time and holds its transaction and session state. */
 export class ClientSession implements ClientEvents {
@@ -32,13 +38,20 @@
   /** Why the open transaction was lost; the client is told with its next statement. `null` when none was lost. */
   #transactionLossReason: string | null = null
   #transactionIdleTimer: NodeJS.Timeout | undefined
-  #isClosed = false
-  #closedAtMs = 0
+  readonly #closer: SessionCloser
+  #isStartupReceived = false
+  /** How the session is to end once it is idle; `null` while it is to go on. */
+  #ending: SessionEnding | null = null
+  #isTerminating = false
+  /** Whether the running statement may have reached an endpoint. */
+  #isAdmitted = false
+  #isAnswered = false
   #endCause: SessionEndCause | null = null
   #isEndRecorded = false
-  /** Statements that were unanswered when the gateway closed the session. */
-  #droppedIds: string[] | null = null
-  #isCloseRequested = false
+  /** Statements that arrived after the session was closed. */
+  readonly #droppedIds: string[] = []
+  /** Why the open transaction is to be rolled back after its running statement. */
+  #pendingTransactionEnd: string | null = null
   #lastActiveAtMs: number
 
   constructor (id: string, host: SessionHost, transport: ClientTransport) {
@@ -46,10 +59,14 @@
     this.#host = host
     this.#transport = transport
     this.#lastActiveAtMs = host.clock.readNow()
+    this.#closer = new SessionCloser({ transport, clock: host.clock })
   }
 
   handleStartup = (database: string, key: string): void => {
-    if (this.#workspace !== null) return this.#close('startupRefused')
+    // The notice that the session ends is the refusal of the startup.
+    if (this.#closer.isTold) return this.#close('startupRefused')
+    if (this.#isStartupReceived) return this.handleMalformed('the session has started already')
+    this.#isStartupReceived = true
     this.#database = database
     this.#key = key
     this.#host.waitForConfiguration().then(configuration => this.#admitSession(configuration), (error: unknown) => {
@@ -63,19 +80,24 @@
   }
 
   handleMalformed = (reason: string): void => {
-    this.#enqueueStatement({ malformed: reason })
+    this.#enqueueStatement({ error: { code: 'malformed', text: reason }, endsSession: false })
   }
 
-  handleTooLarge = (): void => this.#recordCause('messageTooLarge')
+  handleTooLarge = (): void => {
+    this.#enqueueStatement({ error: { code: 'tooLarge', text: 'message too large' }, endsSession: true })
+  }
 
-  handleTerminate = (): void => this.#close('clientTerminated')
+  handleTerminate = (): void => {
+    this.#isTerminating = true
+    if (!this.#hasStatements) this.#close('clientTerminated')
+  }
 
   handleClose = (): void => {
     this.recordEnd('clientClosed')
-    this.#isClosed = true
+    this.#closer.handleClosed()
     clearTimeout(this.#transactionIdleTimer)
     this.#queue.length = 0
-    if (!this.#isRunning) this.#transaction?.rollback()
+    if (this.#runningStatement === null) this.#transaction?.rollback()
     this.#host.removeSession(this)
   }
 
@@ -88,21 +110,22 @@
       cause: this.#endCause ?? cause,
       version: this.#host.readConfiguration()?.version,
       answered: this.#answeredCount,
-      unansweredIds: this.#droppedIds ?? this.#listUnansweredIds(),
+      unansweredIds: [...this.#listUnansweredIds(), ...this.#droppedIds],
       input: this.#transport.readInputState()
     })
   }
 
   get activity (): SessionActivity {
-    if (this.#isClosed) return 'closing'
-    if (this.#isRunning || this.#queue.length > 0) return 'busy'
-    if (this.#sessionState.transaction !== 'idle') return 'inTransaction'
-    return this.#workspace === null ? 'notStarted' : 'idle'
+    if (!this.#closer.isOpen || this.#closer.isTold) return 'closing'
+    if (!this.#isStartupReceived) return 'notStarted'
+    if (this.#hasStatements || this.#workspace === null) return 'busy'
+    return this.#sessionState.transaction === 'idle' ? 'idle' : 'inTransaction'
   }
 
-  /** Whether a statement is running or queued, or a transaction is open. */
+  /** Whether a statement is running or queued, a transaction is open, or the client waits for its session to be accepted. */
   get isBusy (): boolean {
-    return this.#isRunning || this.#queue.length > 0 || this.#sessionState.transaction !== 'idle'
+    const { activity } = this
+    return activity === 'busy' || activity === 'inTransaction'
   }
 
   /** Time since the last statement began or ended, in milliseconds. */
@@ -110,84 +133,129 @@
     return this.#host.clock.readNow() - this.#lastActiveAtMs
   }
 
-  /** Closes the session now if it is idle, else once its queued statements and its transaction have ended. */
-  closeWhenIdle (): void {
-    this.#isCloseRequested = true
-    if (!this.isBusy) this.#close('drain')
+  /**
+   * Ends the session now if it is idle, else once its queued statements and its transaction have ended. The client is
+   * told with `ending.error`, which must promise that nothing of a statement that crosses it is kept.
+   */
+  end (ending: SessionEnding): void {
+    this.#ending ??= ending
+    if (!this.isBusy) this.#tellClient(this.#ending.error)
   }
 
-  /** Rolls back an open transaction unless one of its statements is running. The client gets `reason` with its next statement. */
+  /** Rolls back an open transaction, after its running statement if there is one. The client gets `reason` with its next statement. */
   endTransaction (reason: string): void {
-    if (this.#isRunning || this.#sessionState.transaction === 'idle' || this.#transactionLossReason !== null) return
+    if (this.#sessionState.transaction !== 'open' || this.#transactionLossReason !== null) return
+    if (this.#hasStatements) {
+      this.#pendingTransactionEnd = reason
+      return
+    }
     clearTimeout(this.#transactionIdleTimer)
     this.#abandonTransaction(reason)
   }
 
-  /** Applies a new configuration: closes the session when its key or database is no longer valid, unless the session is busy. */
+  /** Applies a new configuration: ends the session when its key or database is no longer valid. */
   applyConfiguration (configuration: Configuration): void {
-    if (this.#workspace === null || this.isBusy) return
-    if ('error' in authenticate(configuration, this.#database, this.#key)) this.#close('configuration')
+    if (this.#workspace === null) return
+    const admission = this.#authenticate(configuration)
+    if ('error' in admission) return this.end({ cause: 'configuration', error: admission.error, computeTimeoutMs: () => CLOSE_TIMEOUT_MS })
+    if (this.#ending?.cause === 'configuration') this.#withdrawEnding()
   }
 
   #admitSession (configuration: Configuration | null): void {
-    if (this.#isClosed) return
+    if (!this.#closer.isOpen) return
     const admission = configuration === null ? { error: { code: 'busy' as const, text: 'no configuration yet; retry after 1000 ms' } } : authenticate(configuration, this.#database, this.#key)
     if ('error' in admission) {
       this.#host.logger.info('session refused', { session: this.id, database: this.#database, version: configuration?.version, ...admission.error })
-      this.#recordCause('startupRefused')
       this.#transport.sendRefusal(admission.error)
-      return
+      return this.#close('startupRefused')
     }
     this.#workspace = admission.workspace
     this.#transport.sendWelcome()
+    this.#lastActiveAtMs = this.#host.clock.readNow()
     this.#runNextStatement()
+    if (this.#ending !== null && !this.isBusy) this.#tellClient(this.#ending.error)
   }
 
-  get #isRunning (): boolean {
-    return this.#runningStatement !== null
+  get #hasStatements (): boolean {
+    return this.#runningStatement !== null || this.#queue.length > 0
   }
 
   #listUnansweredIds (): string[] {
-    const pending = this.#runningStatement === null ? this.#queue : [this.#runningStatement, ...this.#queue]
+    const pending = this.#runningStatement === null || this.#isAnswered ? this.#queue : [this.#runningStatement, ...this.#queue]
     return pending.map(readStatementId)
   }
 
   #enqueueStatement (queued: QueuedStatement): void {
-    if (this.#isClosed) {
-      this.#host.logger.warn('statement received after its session was closed', { id: readStatementId(queued), session: this.id, cause: this.#endCause, sinceCloseMs: Math.round(this.#host.clock.readNow() - this.#closedAtMs) })
-      return
-    }
-    if (this.#queue.length >= MAX_QUEUED_STATEMENTS) {
-      this.#queue.push(queued)
-      return this.#close('queueFull')
-    }
+    if (!this.#closer.isOpen) return this.#recordDropped(queued)
+    if (this.#closer.isTold) return this.#refuseCrossing(queued)
     this.#queue.push(queued)
+    if (this.#queue.length >= MAX_QUEUED_STATEMENTS) this.#transport.pauseInput()
     if (this.#workspace !== null) this.#runNextStatement()
   }
 
+  #recordDropped (queued: QueuedStatement): void {
+    const id = readStatementId(queued)
+    this.#droppedIds.push(id)
+    this.#host.logger.warn('statement received after its session was closed', { id, session: this.id, cause: this.#endCause, sinceCloseMs: this.#closer.sinceCloseMs })
+  }
+
+  /** Answers a statement that crossed the notice that the session ends: its client takes the notice as the error in response to it. */
+  #refuseCrossing (queued: QueuedStatement): void {
+    const error = this.#ending?.error ?? createRetryRefusal('busy', 'the session ends', 0).refusal
+    this.#host.logger.info('statement refused because its session ends', { id: readStatementId(queued), session: this.id, cause: this.#endCause })
+    this.#answeredCount++
+    this.#closer.respondToCrossing(error)
+    if ('error' in queued && queued.endsSession) this.#close('messageTooLarge')
+  }
+
   #runNextStatement (): void {
-    if (this.#isRunning) return
+    if (this.#runningStatement !== null) return
     const queued = this.#queue.shift()
     if (queued === undefined) return
+    if (this.#queue.length <= RESUME_QUEUED_STATEMENTS) this.#transport.resumeInput()
     this.#runningStatement = queued
+    this.#isAdmitted = false
+    this.#isAnswered = false
     clearTimeout(this.#transactionIdleTimer)
     this.#lastActiveAtMs = this.#host.clock.readNow()
-    const running = 'malformed' in queued ? this.#sendResponse({ error: { code: 'malformed', text: queued.malformed }, state: this.#sessionState.transaction }) : this.#admitAndRun(queued)
+    const running = 'error' in queued ? this.#refuseMessage(queued) : this.#admitAndRun(queued)
     Promise.resolve(running).catch((error: unknown) => {
       this.#host.logger.error('statement processing failed', { session: this.id, error: error instanceof Error ? error.stack : String(error) })
+      this.#respondWithoutOutcome(queued, 'internal error')
       this.#close('internalError')
     }).finally(() => this.#finishStatement())
   }
 
+  #refuseMessage ({ error, endsSession }: { error: ResponseError, endsSession: boolean }): void {
+    this.#sendResponse({ error, state: this.#sessionState.transaction })
+    if (endsSession) this.#close('messageTooLarge')
+  }
+
   #finishStatement (): void {
     this.#runningStatement = null
     this.#lastActiveAtMs = this.#host.clock.readNow()
-    if (this.#isClosed) return this.#transaction?.rollback()
+    if (!this.#closer.isOpen) return this.#transaction?.rollback()
+    if (this.#pendingTransactionEnd !== null) this.#finishTransactionEnd(this.#pendingTransactionEnd)
     if (this.#queue.length > 0) return this.#runNextStatement()
-    if (this.#isCloseRequested && this.#sessionState.transaction === 'idle') return this.#close('drain')
+    if (this.#isTerminating) return this.#close('clientTerminated')
+    if (this.#ending !== null && this.#sessionState.transaction === 'idle') return this.#tellClient(this.#ending.error)
     if (this.#transaction !== null) this.#transactionIdleTimer = setTimeout(() => this.#abandonTransaction('the transaction was idle for too long'), this.#host.readTransactionIdleTimeoutMs())
   }
 
+  /** Answers a statement whose outcome the session does not wait for. The rollback of an open transaction is certain, as its connection ends. */
+  #respondWithoutOutcome (statement: QueuedStatement, reason: string): void {
+    if ('error' in statement) return
+    const { refusal } = createRetryRefusal('busy', reason, 0)
+    if (!this.#isAdmitted) return this.#sendResponse({ error: refusal, state: 'idle' })
+    if (this.#sessionState.transaction === 'open' && statement.type !== 'commit') return this.#sendResponse({ error: { code: 'aborted', text: reason }, state: 'failed' })
+    this.#sendResponse({ error: { code: statement.type === 'read' ? 'failed' : 'inDoubt', text: reason }, state: 'idle' })
+  }
+
+  #finishTransactionEnd (reason: string): void {
+    this.#pendingTransactionEnd = null
+    if (this.#sessionState.transaction === 'open' && this.#transactionLossReason === null) this.#abandonTransaction(reason)
+  }
+
   #abandonTransaction (reason: string): void {
     this.#host.logger.info('transaction ended by gateway', { session: this.id, workspace: this.#workspace, reason })
     this.#transaction?.rollback()
@@ -197,8 +265,9 @@
 
   async #admitAndRun (statement: ClientStatement): Promise<void> {
     const refusal = this.#sessionState.transaction === 'idle' ? await this.#admitOperation(statement) : null
-    if (this.#isClosed) return
+    if (!this.#closer.isOpen) return
     if (refusal !== null) return this.#sendResponse({ error: refusal, state: 'idle' })
+    this.#isAdmitted = true
     const plan = decideStatement(this.#sessionState, statement)
     await this.#runPlan(statement, plan)
   }
@@ -207,17 +276,22 @@
   async #admitOperation (statement: ClientStatement): Promise<ResponseError | null> {
     const configuration = this.#host.readConfiguration()
     if (configuration === null) return { code: 'busy', text: 'no configuration yet; retry after 1000 ms' }
-    const admission = authenticate(configuration, this.#database, this.#key)
-    if ('error' in admission || admission.workspace !== this.#workspace) {
-      const error: ResponseError = 'error' in admission ? admission.error : { code: 'noAuth', text: 'the key belongs to another workspace now' }
-      this.#host.logger.info('operation refused because its key or database is not valid', { id: statement.id, session: this.id, version: configuration.version, ...error })
-      return error
+    const admission = this.#authenticate(configuration)
+    if ('error' in admission) {
+      this.#host.logger.info('operation refused because its key or database is not valid', { id: statement.id, session: this.id, version: configuration.version, ...admission.error })
+      return admission.error
     }
     this.#route = admission.route
     const isOperation = ['begin', 'read', 'write', 'execute'].includes(statement.type)
     return isOperation ? await this.#host.admitOperation(statement.id, admission.workspace) : null
   }
 
+  #authenticate (configuration: Configuration): Admission {
+    const admission = authenticate(configuration, this.#database, this.#key)
+    if ('error' in admission || admission.workspace === this.#workspace) return admission
+    return { error: { code: 'noAuth', text: 'the key belongs to another workspace now' } }
+  }
+
   async #runPlan (statement: ClientStatement, plan: StatementPlan): Promise<void> {
     const state = this.#sessionState
     switch (plan.type) {
@@ -303,27 +377,38 @@
   }
 
   #sendResponse (response: ClientResponse): void {
-    if (this.#isClosed) return
+    if (!this.#closer.isOpen || this.#isAnswered) return
+    this.#isAnswered = true
+    this.#respond(response)
+  }
+
+  #respond (response: ClientResponse): void {
     this.#answeredCount++
     this.#transport.sendResponse(response)
   }
 
-  #recordCause (cause: SessionEndCause): void {
-    this.#endCause ??= cause
+  #tellClient (error: ResponseError): void {
+    if (this.#ending === null || !this.#closer.isOpen) return
+    this.#endCause ??= this.#ending.cause
+    this.#closer.tell(error, this.#ending.computeTimeoutMs)
+  }
+
+  /** Lets the session go on because its key and database are valid again, unless its client was told already. */
+  #withdrawEnding (): void {
+    if (this.#ending === null) return
+    this.#ending = this.#closer.isTold ? { ...this.#ending, error: createRetryRefusal('busy', 'the session ends', 0).refusal } : null
   }
 
-  /** Closes the session. Statements that arrive later are not run, because their client would get no response. */
+  /** Closes the connection after the responses that have been sent. */
   #close (cause: SessionEndCause): void {
-    if (this.#isClosed) return
-    this.#recordCause(cause)
-    this.#droppedIds = this.#listUnansweredIds()
-    this.#isClosed = true
-    this.#closedAtMs = this.#host.clock.readNow()
-    this.#queue.length = 0
-    this.#transport.close()
+    if (!this.#closer.isOpen) return
+    this.#endCause ??= cause
+    clearTimeout(this.#transactionIdleTimer)
+    if (this.#runningStatement === null) this.#transaction?.rollback()
+    this.#closer.close(this.#ending?.computeTimeoutMs() ?? CLOSE_TIMEOUT_MS)
   }
 }
 
 function readStatementId (queued: QueuedStatement): string {
-  return 'malformed' in queued ? '-' : queued.id
+  return 'error' in queued ? '-' : queued.id
 }
--- a/packages/gateway/src/sessions/session-end.ts
+++ b/packages/gateway/src/sessions/session-end.ts
@@ -1,4 +1,5 @@
 import type { Logger } from '@camphorpitch/wire'
+import type { ResponseError } from '../backend/statement.ts'
 import type { InputState } from '../clients/client-listener.ts'
 import type { GatewayMetrics } from '../telemetry/gateway-metrics.ts'
 
@@ -11,10 +12,21 @@
   | 'configuration'
   | 'startupRefused'
   | 'messageTooLarge'
-  | 'queueFull'
   | 'internalError'
   | 'processExit'
 
+/** How a session is to end. */
+export interface SessionEnding {
+  cause: SessionEndCause
+  /** The error that tells the client; nothing of a statement that it answers is kept. */
+  error: ResponseError
+  /**
+   * Returns how long to wait for the client to close the connection, and after that for the connection to end, in
+   * milliseconds.
+   */
+  computeTimeoutMs: () => number
+}
+
 /** What a session does at the moment, from the point of view of a stop that waits for it. */
 export type SessionActivity = 'notStarted' | 'idle' | 'busy' | 'inTransaction' | 'closing'
 
