End a stop before its grace period does, whatever it waits for

The drain ended 500 ms before that time if a session was left, and only then a stop removed the VM's entry from the store, which takes up to a second while the store does not respond, and closed the links, which took for ever if a peer had connected and sent nothing. Sessions were served all the while and cut at the exit or the kill.

Half of the time that is left after the load balancer has removed the VM is for a client to close its connection, half of the rest for the connection to end. In the last part of the grace period no operation begins any more: waiting statements are refused, clients of idle transactions are told that nothing is kept, and running statements are waited for. One that still runs shortly before the end is answered with what is certain: a write or commit as in doubt, a read as failed, a statement in a transaction as aborted, as its connection ends before a commit. The removal of the entry runs beside this, and no step is waited for beyond 0.93 of the grace period. The steps that are given up are logged.

The answer to a statement that still runs is shown by tests that end the session; that the former code cut it at the exit of the process is read from the code, not shown by a run.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -5,7 +5,8 @@
 import { ElapsedClock } from './clock/elapsed-clock.ts'
 import { ConfigurationHolder } from './configuration/configuration-holder.ts'
 import { applyChanges, applyListing, createDirectory, recordStoreRecovery, removeExpiredLapsedEntries, type DirectoryState } from './directory/directory.ts'
-import { drainSessions } from './drain/drain.ts'
+import { drainSessions, finishSessions } from './drain/drain.ts'
+import { runStopSteps } from './drain/stop-steps.ts'
 import { ControlConnections } from './failover/control-connections.ts'
 import { DutyClaims } from './failover/duty-claim.ts'
 import { FailoverWatch } from './failover/failover-watch.ts'
@@ -113,17 +114,21 @@
     readStatus: () => createGatewayStatus({ ...components, isReady, countSessions: () => sessions.size }),
     drain: async () => {
       isDraining = true
-      const startedAtMs = clock.readNow()
-      const logStep = (step: string): void => { logger.info(step, { sinceStopMs: Math.round(clock.readNow() - startedAtMs) }) }
-      await drainSessions({ clock, logger, startedAtMs, graceMs: settings.graceS * MS_PER_SECOND, listSessions: () => [...sessions] })
+      const stop = { clock, logger, startedAtMs: clock.readNow(), graceMs: settings.graceS * MS_PER_SECOND, listSessions: () => [...sessions] }
+      await drainSessions(stop)
       clearInterval(maintenanceTimer)
       for (const w of watches) w.stop()
       failover.stop()
-      await Promise.all([fleet.stop().then(() => logStep('fleet left')), adapters.listener.stop()])
-      await network.stop()
-      logStep('links closed')
+      await runStopSteps(stop, {
+        'sessions ended': async () => {
+          await adapters.listener.stop()
+          await finishSessions(stop)
+        },
+        'fleet left': async () => await fleet.stop()
+      })
+      await runStopSteps(stop, { 'links closed': async () => await network.stop() })
       for (const session of sessions) session.recordEnd('processExit')
-      logStep('stopped')
+      logger.info('stopped', { sinceStopMs: Math.round(clock.readNow() - stop.startedAtMs) })
     }
   }
 }
--- a/packages/gateway/src/drain/drain.test.ts
+++ b/packages/gateway/src/drain/drain.test.ts
@@ -1,7 +1,8 @@
 import { Clock, createLogger } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import type { SessionActivity } from '../sessions/session-end.ts'
-import { drainSessions, type DrainOptions } from './drain.ts'
+import { drainSessions, finishSessions, type DrainOptions } from './drain.ts'
+import { runStopSteps } from './stop-steps.ts'
 
 const logger = createLogger({ process: 'test', level: 'silent' })
 const GRACE_MS = 6_000
@@ -18,6 +19,8 @@
   /** Whether its client closes the connection when it is told. */
   closesWhenTold = true
   timeoutMs = 0
+  isTerminated = false
+  isDestroyed = false
   get isBusy (): boolean { return this.activity === 'busy' || this.activity === 'inTransaction' }
   end ({ computeTimeoutMs }: { computeTimeoutMs: () => number }): void {
     if (this.isBusy) return
@@ -27,6 +30,9 @@
   }
 
   endTransaction (): void { if (this.activity === 'inTransaction') this.activity = 'idle' }
+  stopAdmission (): void { if (this.activity !== 'busy') this.isEnded ||= this.closesWhenTold }
+  terminate (): void { this.isTerminated = true }
+  destroy (): void { this.isDestroyed = this.isEnded = true }
 }
 
 function createSession (values: Partial<FakeSession>): FakeSession {
@@ -82,4 +88,30 @@
     const sessions = new Set([createSession({ activity: 'idle', idleMs: 10_000 }), createSession({ activity: 'notStarted', idleMs: 10_000 })])
     expect(await runStep(drainSessions, sessions)).to.be.below(3_000)
   })
+
+  it('leaves time to finish for the sessions that do not end', async () => {
+    expect(await runStep(drainSessions, new Set([createSession({ activity: 'busy' })]))).to.be.below(GRACE_MS - 500)
+  })
+})
+
+describe('last part of a stop', () => {
+  it('waits for a running statement, and does not terminate its session', async () => {
+    const session = createSession({ activity: 'busy' })
+    await runStep(finishSessions, new Set([session]), nowMs => { if (nowMs >= 5_300) session.activity = 'idle' }, 5_100)
+    expect(session.isTerminated).to.equal(false)
+  })
+
+  it('answers statements that do not end in time, and ends connections that do not close, before the process is killed', async () => {
+    const sessions = [createSession({ activity: 'busy' }), createSession({ activity: 'closing', closesWhenTold: false })]
+    expect(await runStep(finishSessions, new Set(sessions), () => {}, 5_100)).to.be.below(GRACE_MS - 200)
+    expect(sessions.map(s => s.isTerminated && s.isDestroyed)).to.deep.equal([true, true])
+  })
+
+  it('does not wait for a step that does not end before the process is killed', async () => {
+    const clock = new VirtualClock()
+    clock.nowMs = GRACE_MS - 500
+    const startedAtMs = performance.now()
+    await runStopSteps({ clock, logger, startedAtMs: 0, graceMs: GRACE_MS }, { 'fleet left': async () => await new Promise(() => {}), 'links closed': async () => { throw new Error('no link') } })
+    expect(performance.now() - startedAtMs).to.be.below(300)
+  })
 })
--- a/packages/gateway/src/drain/drain.ts
+++ b/packages/gateway/src/drain/drain.ts
@@ -14,12 +14,16 @@
 const MIN_STARTUP_WAIT_MS = 300
 /** Fraction of the grace period within which open transactions may end by themselves. */
 const TRANSACTION_GRACE_FRACTION = 0.5
-/** The drain ends this long before the grace period does, as the process is killed then. */
-const KILL_MARGIN_MS = 500
+/** Fraction of the grace period after which no operation begins any more. */
+const ADMISSION_FRACTION = 0.85
+/** Fraction of the grace period after which running statements are no longer waited for. The process is killed at its end. */
+const STATEMENT_FRACTION = 0.93
+/** Time for the last responses to reach the clients. */
+const FLUSH_MS = 100
 const MIN_CLOSE_TIMEOUT_MS = 100
 const CHECK_INTERVAL_MS = 50
 
-type DrainedSession = Pick<ClientSession, 'activity' | 'isBusy' | 'idleMs' | 'end' | 'endTransaction'>
+type DrainedSession = Pick<ClientSession, 'activity' | 'isBusy' | 'idleMs' | 'end' | 'endTransaction' | 'stopAdmission' | 'terminate' | 'destroy'>
 
 export interface DrainOptions {
   clock: Clock
@@ -40,10 +44,10 @@
  */
 export async function drainSessions ({ clock, logger, startedAtMs, graceMs, listSessions, pause = waitFor }: DrainOptions): Promise<void> {
   const hasElapsed = (afterMs: number): boolean => clock.readNow() - startedAtMs >= afterMs
-  const ending = createStopEnding(() => startedAtMs + graceMs - KILL_MARGIN_MS - clock.readNow())
+  const ending = createStopEnding(() => startedAtMs + graceMs * ADMISSION_FRACTION - clock.readNow())
   logger.info('draining', { sessions: listSessions().length, activities: countByActivity(listSessions()), graceMs })
   let noSessionSinceMs = startedAtMs + BALANCER_REMOVAL_MS
-  while (!hasElapsed(graceMs - KILL_MARGIN_MS)) {
+  while (!hasElapsed(graceMs * ADMISSION_FRACTION)) {
     const sessions = listSessions()
     if (sessions.length > 0) noSessionSinceMs = Math.max(noSessionSinceMs, clock.readNow())
     if (clock.readNow() - noSessionSinceMs >= NO_SESSION_GRACE_MS) break
@@ -54,6 +58,30 @@
   logger.info('drain finished', { left: listSessions().length, waitedFor: countByActivity(listSessions()), durationMs: Math.round(clock.readNow() - startedAtMs) })
 }
 
+/**
+ * Ends the sessions that the drain has left, before the process is killed. No operation begins any more; statements
+ * that are running are waited for until shortly before the end of the grace period, and then answered without their
+ * outcome.
+ */
+export async function finishSessions ({ clock, logger, startedAtMs, graceMs, listSessions, pause = waitFor }: DrainOptions): Promise<void> {
+  const deadlineMs = startedAtMs + graceMs * STATEMENT_FRACTION
+  const ending = createStopEnding(() => deadlineMs - clock.readNow())
+  while (listSessions().length > 0 && clock.readNow() < deadlineMs - FLUSH_MS) {
+    for (const s of listSessions()) s.stopAdmission(ending)
+    await pause(CHECK_INTERVAL_MS)
+  }
+  const left = listSessions()
+  if (left.length > 0) logger.warn('sessions ended with the process', { waitedFor: countByActivity(left) })
+  for (const s of left) s.terminate()
+  while (listSessions().length > 0 && clock.readNow() < deadlineMs) await pause(CHECK_INTERVAL_MS)
+  for (const s of listSessions()) s.destroy()
+}
+
+/** Computes how much of the grace period is left until no step of a stop is waited for any more, in milliseconds. */
+export function computeStopTimeLeftMs ({ clock, startedAtMs, graceMs }: Pick<DrainOptions, 'clock' | 'startedAtMs' | 'graceMs'>): number {
+  return Math.max(0, startedAtMs + graceMs * STATEMENT_FRACTION - clock.readNow())
+}
+
 /** Half of the time that is left is for the client to close, and half of the rest for its connection to end. */
 function createStopEnding (computeTimeLeftMs: () => number): SessionEnding {
   const { refusal } = createRetryRefusal('busy', 'the VM stops', 0)
--- a/packages/gateway/src/sessions/client-session.test.ts
+++ b/packages/gateway/src/sessions/client-session.test.ts
@@ -61,6 +61,7 @@
 const success: Outcome = { response: { rows: [], signature: 'x', error: null, state: 'idle', position: null }, endpoint: 'e' }
 const ending: SessionEnding = { cause: 'drain', error: { code: 'busy', text: 'the VM stops' }, computeTimeoutMs: () => CLOSE_TIMEOUT_MS }
 const writeStatement: ClientStatement = { id: '7f', text: 'WRITE 1 x', type: 'write' }
+const readStatement: ClientStatement = { id: '80', text: 'READ 1', type: 'read' }
 const beginStatement: ClientStatement = { id: '81', text: 'BEGIN', type: 'begin', isReadOnly: false }
 const waitForEventLoopTurn = async (): Promise<void> => await new Promise(resolve => setImmediate(resolve))
 const waitFor = async (ms: number): Promise<void> => await new Promise(resolve => setTimeout(resolve, ms))
@@ -249,3 +250,51 @@
     session.handleClose()
   })
 })
+
+describe('client session at the end of the process', () => {
+  it('refuses statements that have not begun, and waits for the one that runs', async () => {
+    const { session, transport, executedIds, finish } = await startSession()
+    session.handleStatement(writeStatement)
+    session.handleStatement(readStatement)
+    await waitForEventLoopTurn()
+    session.stopAdmission(ending)
+    await finish()
+    expect(transport.sent).to.deep.equal(['rows idle', 'error busy idle', 'notice busy'])
+    expect(executedIds).to.deep.equal(['7f'])
+    session.handleClose()
+  })
+
+  for (const { statement, error } of [{ statement: writeStatement, error: 'inDoubt' }, { statement: readStatement, error: 'failed' }]) {
+    it(`answers a ${statement.type} that does not end in time with ${error}, and those behind it as not run`, async () => {
+      const { session, transport, ends, executedIds, finish } = await startSession()
+      session.handleStatement(statement)
+      session.handleStatement({ ...writeStatement, id: '90' })
+      await waitForEventLoopTurn()
+      session.terminate()
+      await finish()
+      expect(transport.sent).to.deep.equal([`error ${error} idle`, 'error busy idle', 'close'])
+      expect(executedIds).to.deep.equal([statement.id])
+      session.handleClose()
+      expect(ends).to.have.length(1)
+      expect(ends[0]).to.deep.include({ cause: 'processExit', answered: 2, unansweredIds: [] })
+    })
+  }
+
+  it('tells the client of an idle transaction that nothing of it is kept', async () => {
+    const { session, transport } = await startSession()
+    session.handleStatement(beginStatement)
+    await waitForEventLoopTurn()
+    session.stopAdmission(ending)
+    session.handleStatement({ id: '83', text: 'COMMIT', type: 'commit' })
+    expect(transport.sent).to.deep.equal(['rows open', 'notice aborted', 'completion', 'notice busy'])
+    session.handleClose()
+  })
+
+  it('counts statements that arrive after its connection was closed as unanswered', async () => {
+    const { session, ends } = await startSession()
+    session.terminate()
+    session.handleStatement(writeStatement)
+    session.handleClose()
+    expect(ends[0]).to.deep.include({ cause: 'processExit', unansweredIds: ['7f'] })
+  })
+})
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -42,6 +42,8 @@
   #isStartupReceived = false
   /** How the session is to end once it is idle; `null` while it is to go on. */
   #ending: SessionEnding | null = null
+  /** Whether operations that have not begun are refused with the error of `#ending`. */
+  #isAdmissionStopped = false
   #isTerminating = false
   /** Whether the running statement may have reached an endpoint. */
   #isAdmitted = false
@@ -142,6 +144,31 @@
     if (!this.isBusy) this.#tellClient(this.#ending.error)
   }
 
+  /** Ends the session, and refuses operations that have not begun. A statement that is running is waited for; an open transaction is rolled back. */
+  stopAdmission (ending: SessionEnding): void {
+    this.#isAdmissionStopped = true
+    this.end(ending)
+    this.endTransaction(ending.error.text)
+    if (this.#hasStatements || this.#sessionState.transaction === 'idle') return
+    this.#sessionState.transaction = 'idle'
+    this.#tellClient({ code: 'aborted', text: this.#transactionLossReason ?? 'the transaction had failed' })
+  }
+
+  /** Closes the session at once. A statement that is running is answered with what is certain of its outcome. */
+  terminate (): void {
+    if (!this.#closer.isOpen) return
+    const { refusal } = createRetryRefusal('busy', 'the VM stops', 0)
+    if (this.#isStartupReceived && this.#workspace === null) this.#transport.sendRefusal(refusal)
+    if (this.#runningStatement !== null) this.#respondWithoutOutcome(this.#runningStatement, 'the VM stops')
+    for (const queued of this.#queue.splice(0)) this.#respond({ error: 'error' in queued ? queued.error : refusal, state: 'idle' })
+    this.#close('processExit')
+  }
+
+  /** Ends the connection at once; responses that the client has not taken are lost. */
+  destroy (): void {
+    this.#closer.destroy()
+  }
+
   /** Rolls back an open transaction, after its running statement if there is one. The client gets `reason` with its next statement. */
   endTransaction (reason: string): void {
     if (this.#sessionState.transaction !== 'open' || this.#transactionLossReason !== null) return
@@ -163,6 +190,10 @@
 
   #admitSession (configuration: Configuration | null): void {
     if (!this.#closer.isOpen) return
+    if (this.#isAdmissionStopped && this.#ending !== null) {
+      this.#transport.sendRefusal(this.#ending.error)
+      return this.#close('startupRefused')
+    }
     const admission = configuration === null ? { error: { code: 'busy' as const, text: 'no configuration yet; retry after 1000 ms' } } : authenticate(configuration, this.#database, this.#key)
     if ('error' in admission) {
       this.#host.logger.info('session refused', { session: this.id, database: this.#database, version: configuration?.version, ...admission.error })
@@ -274,6 +305,7 @@
 
   /** Checks key, route and quota at the start of an operation: a transaction or a single statement. */
   async #admitOperation (statement: ClientStatement): Promise<ResponseError | null> {
+    if (this.#isAdmissionStopped && this.#ending !== null) return this.#ending.error
     const configuration = this.#host.readConfiguration()
     if (configuration === null) return { code: 'busy', text: 'no configuration yet; retry after 1000 ms' }
     const admission = this.#authenticate(configuration)
