Close connections of peers that have sent nothing when the links between VMs are closed

A stop of a VM did not end while a peer had connected and had not finished its request for a link: closing the server waited for that connection, which only the peer could end, and it never does if it has gone dark. The links' server now closes all its connections. Both tests of ws-peer-network.test.ts that hold such a connection timed out after 5 s before; they take 68 and 52 ms now. The bound on a stop's steps hides this in the gateway; the proxy uses the same links.

--- a/packages/wire/src/peer/link.ts
+++ b/packages/wire/src/peer/link.ts
@@ -1,4 +1,5 @@
 import { once } from 'node:events'
+import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { pack, unpack } from 'msgpackr'
 import { WebSocket, WebSocketServer } from 'ws'
@@ -8,6 +9,7 @@
 /** Maximum number of bytes in a link's send buffer; above it, messages are not sent, as delivery is best effort. */
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 const HELLO_TIMEOUT_MS = 2_000
+const STATUS_UPGRADE_REQUIRED = 426
 
 export interface LinkHandlers {
   onMessage: (link: PeerLink, envelope: Envelope) => void
@@ -163,16 +165,22 @@
 
 /** Accepts links from peers; `onLink` is called with each one after the exchange of hello messages. */
 export async function listenForPeers (host: string, port: number, self: Hello, handlers: LinkHandlers, onLink: (link: PeerLink) => void): Promise<PeerServer> {
-  const server = new WebSocketServer({ host, port, maxPayload: MAX_PEER_MESSAGE_BYTES, perMessageDeflate: false })
+  const httpServer = createServer((_request, response) => { response.writeHead(STATUS_UPGRADE_REQUIRED).end() })
+  const server = new WebSocketServer({ server: httpServer, maxPayload: MAX_PEER_MESSAGE_BYTES, perMessageDeflate: false })
   server.on('connection', socket => {
     exchangeHello(new BufferedSocket(socket), self, handlers).then(onLink, () => {})
   })
-  await once(server, 'listening')
-  const { port: boundPort } = server.address() as AddressInfo
-  return { port: boundPort, close: async () => await closeServer(server) }
+  httpServer.listen(port, host)
+  await once(httpServer, 'listening')
+  const { port: boundPort } = httpServer.address() as AddressInfo
+  return { port: boundPort, close: async () => await closeServer(server, httpServer) }
 }
 
-async function closeServer (server: WebSocketServer): Promise<void> {
+/** Closes the server and all its connections, also those that have not become links: a peer may connect and send nothing. */
+async function closeServer (server: WebSocketServer, httpServer: Server): Promise<void> {
   for (const c of server.clients) c.terminate()
-  await new Promise<void>(resolve => server.close(() => resolve()))
+  server.close()
+  const closed = new Promise<void>(resolve => httpServer.close(() => resolve()))
+  httpServer.closeAllConnections()
+  await closed
 }
--- /dev/null
+++ b/packages/wire/src/peer/ws-peer-network.test.ts
@@ -0,0 +1,40 @@
+import { once } from 'node:events'
+import { connect } from 'node:net'
+import { expect } from 'chai'
+import { MonotonicClock } from '../process/clock.ts'
+import { createLogger } from '../process/logger.ts'
+import { PEER_PROTOCOL_VERSION, type Hello } from './envelope.ts'
+import { WsPeerNetwork, type PeerAddress } from './ws-peer-network.ts'
+
+function createNetwork (vm: string, findAddress: (vm: string) => PeerAddress | undefined = () => undefined): WsPeerNetwork {
+  const self: Hello = { version: PEER_PROTOCOL_VERSION, vm, incarnation: 1, failureDomain: 'north' }
+  return new WsPeerNetwork({ self, clock: new MonotonicClock(), logger: createLogger({ process: 'test', level: 'silent' }), findAddress })
+}
+
+describe('WsPeerNetwork', function () {
+  this.timeout(5_000)
+
+  for (const { sent, text } of [{ sent: 'nothing', text: '' }, { sent: 'a part of a request', text: 'GET / HTTP/1.1\r\nHost:' }]) {
+    it(`stops although a peer has connected and sent ${sent}`, async () => {
+      const network = createNetwork('vm-0')
+      const socket = connect(await network.listen('127.0.0.1', 0), '127.0.0.1')
+      await once(socket, 'connect')
+      socket.on('error', () => {})
+      if (text !== '') socket.write(text)
+      await new Promise(resolve => setTimeout(resolve, 50))
+      await network.stop()
+      socket.destroy()
+    })
+  }
+
+  it('delivers messages to a peer, and stops with open links', async () => {
+    const receiver = createNetwork('vm-1')
+    const port = await receiver.listen('127.0.0.1', 0)
+    const sender = createNetwork('vm-0', () => ({ host: '127.0.0.1', port }))
+    const received = new Promise(resolve => receiver.subscribe('test', (from, body) => resolve({ from: from.vm, body })))
+    sender.send('vm-1', 'test', { value: 7 })
+    expect(await received).to.deep.equal({ from: 'vm-0', body: { value: 7 } })
+    await receiver.stop()
+    await sender.stop()
+  })
+})
