Write the last lines of the log before a stopped process exits

Found by a test of a stop with a real process: its last line, stopped, was missing. Lines that are queued while an earlier write is in progress were lost at the exit, as only an idle output can be written synchronously there. The stop now waits until the lines are written, for 50 ms at most, so that a reader that has stopped does not keep the process.

--- a/packages/wire/src/process/bounded-output.test.ts
+++ b/packages/wire/src/process/bounded-output.test.ts
@@ -28,6 +28,24 @@
     expect(text.length).to.be.lessThan(2 * 1024 * 1024)
   }).timeout(10_000)
 
+  it('waits until lines that are being written are out, but not for a reader that has stopped', async () => {
+    const completeWrites: Array<() => void> = []
+    const writtenChunks: string[] = []
+    const output = new BoundedOutput((chunk, done) => completeWrites.push(() => {
+      writtenChunks.push(chunk.toString())
+      done(null, chunk.length)
+    }))
+    output.write('first\n')
+    output.write('last\n')
+    await output.flush(20)
+    expect(writtenChunks).to.deep.equal([])
+    const flushed = output.flush(1_000)
+    completeWrites.shift()!()
+    completeWrites.shift()!()
+    await flushed
+    expect(writtenChunks).to.deep.equal(['first\n', 'last\n'])
+  })
+
   it('writes the rest of a chunk after a partial write', () => {
     let text = ''
     const output = new BoundedOutput((chunk, done) => {
--- a/packages/wire/src/process/bounded-output.ts
+++ b/packages/wire/src/process/bounded-output.ts
@@ -18,6 +18,7 @@
   #pendingBytes = 0
   #isWriting = false
   #droppedLineCount = 0
+  #handleFlushed: () => void = () => {}
 
   constructor (writeChunk: WriteChunk = (chunk, done) => write(STDOUT_FD, chunk, done)) {
     super({ decodeStrings: true })
@@ -36,6 +37,18 @@
     done()
   }
 
+  /** Waits until all lines are written, for at most `timeoutMs`. */
+  async flush (timeoutMs: number): Promise<void> {
+    if (!this.#isWriting) return
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, timeoutMs)
+      this.#handleFlushed = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
+  }
+
   /** Writes all pending lines before the process exits, unless a write is still in progress. */
   flushSync (): void {
     if (this.#isWriting || this.#pendingChunks.length === 0) return
@@ -64,6 +77,7 @@
       this.#isWriting = false
       this.#pendingBytes = this.#pendingChunks.reduce((sum, c) => sum + c.length, 0)
       this.#flush()
+      if (!this.#isWriting) this.#handleFlushed()
     })
   }
 }
--- a/packages/wire/src/process/logger.ts
+++ b/packages/wire/src/process/logger.ts
@@ -23,6 +23,11 @@
   return newOutput
 }
 
+/** Waits until the lines of all loggers are written, for at most `timeoutMs`. */
+export async function flushLogs (timeoutMs: number): Promise<void> {
+  await output?.flush(timeoutMs)
+}
+
 /** Creates a logger that writes one JSON object per line to standard output. It limits repeated lines, and never blocks when the reader of the output is slow. */
 export function createLogger (options: LoggerOptions): Logger {
   const { process: name, level = 'info' } = options
--- a/packages/wire/src/process/shutdown.ts
+++ b/packages/wire/src/process/shutdown.ts
@@ -1,3 +1,8 @@
+import { flushLogs } from './logger.ts'
+
+/** A reader of the log that has stopped does not keep the process. */
+const LOG_FLUSH_TIMEOUT_MS = 50
+
 /**
  * Runs `stop` at the first SIGTERM or SIGINT, then exits with 0, or with 1 if `stop` fails.
  *
@@ -5,10 +10,14 @@
  */
 export function handleShutdown (stop: () => Promise<void>): void {
   let isStopping = false
+  const finish = async (code: number): Promise<void> => {
+    await flushLogs(LOG_FLUSH_TIMEOUT_MS)
+    process.exit(code)
+  }
   const beginShutdown = () => {
     if (isStopping) return
     isStopping = true
-    stop().then(() => process.exit(0), () => process.exit(1))
+    stop().then(async () => await finish(0), async () => await finish(1))
   }
   process.on('SIGTERM', beginShutdown)
   process.on('SIGINT', beginShutdown)
