Write a VM's entry again when the store returns from a copy that lacks it

A VM wrote its entry once, at its start. Where the store returned from a copy made before, the entry stayed away: VMs that start later learn of this VM only from others' reports, and at its stop it deleted with a revision of the epoch before and left the entry of the copy behind.

On a change of the epoch each VM looks its entry up and writes it if it is missing or of an earlier start. If the copy has it, one read is all. Within an epoch the calls are as before, but that an entry which a lost answer had already written is not written once more. A conflict that a lookup does not resolve is retried after the usual delay, not at once.

--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util'
 import type { Clock, Hello, Logger, PeerNetwork } from '@camphorpitch/wire'
 import type { z } from 'zod'
 import { RevisionConflictError } from '../metadata/errors.ts'
@@ -56,6 +57,7 @@
   #roundTimer: NodeJS.Timeout | undefined
   #vmsWatch: KindWatch<'vms'> | undefined
   #localEntryRevision: Revision | null = null
+  #isRegistering = false
   #isStopped = false
 
   constructor (options: FleetOptions) {
@@ -86,7 +88,8 @@
         }
       }
     })
-    this.#register().catch((error: unknown) => logger.error('vm registration failed', { error: String(error) }))
+    store.epochs.subscribe(() => this.#startRegistration(true))
+    this.#startRegistration(false)
     this.#scheduleRound()
   }
 
@@ -178,27 +181,38 @@
     if (addMember(state, parsed.data)) logger.info('vm added to the members of the fleet', { ...parsed.data })
   }
 
-  async #register (): Promise<void> {
+  /** Starts to write this VM's entry into the store, unless that is in progress. */
+  #startRegistration (mayBeRegistered: boolean): void {
+    const { logger } = this.#options
+    if (this.#isRegistering || this.#isStopped) return
+    this.#isRegistering = true
+    this.#register(mayBeRegistered).catch((error: unknown) => logger.error('vm registration failed', { error: String(error) }))
+      .finally(() => { this.#isRegistering = false })
+  }
+
+  /** Writes this VM's entry until the store has it in its latest epoch. */
+  async #register (mayBeRegistered: boolean): Promise<void> {
     const { store, state: { self }, logger } = this.#options
-    for (let expectedRevision: Revision | null = null; !this.#isStopped && this.#localEntryRevision === null;) {
+    let isLookupNeeded = mayBeRegistered
+    while (!this.#isStopped && (this.#localEntryRevision === null || this.#localEntryRevision.epoch !== store.epochs.current)) {
       try {
-        this.#localEntryRevision = await store.write('vms', self.vm, self, expectedRevision)
-        logger.info('local vm entry registered', { vm: self.vm })
+        this.#localEntryRevision = isLookupNeeded ? await this.#replaceLocalEntry() : await store.write('vms', self.vm, self, null)
+        logger.info('local vm entry registered', { vm: self.vm, epoch: this.#localEntryRevision.epoch })
       } catch (error) {
-        expectedRevision = error instanceof RevisionConflictError ? await this.#findLocalEntryRevision() : expectedRevision
-        if (!(error instanceof RevisionConflictError)) await new Promise(resolve => setTimeout(resolve, REGISTRATION_RETRY_DELAY_MS))
+        const isFirstConflict = error instanceof RevisionConflictError && !isLookupNeeded
+        isLookupNeeded = isLookupNeeded || isFirstConflict
+        if (isFirstConflict) continue
+        logger.info('registration of the local vm entry failed', { reason: String(error) })
+        await new Promise(resolve => setTimeout(resolve, REGISTRATION_RETRY_DELAY_MS))
       }
     }
   }
 
-  async #findLocalEntryRevision (): Promise<Revision | null> {
-    const { store, state: { self }, logger } = this.#options
-    try {
-      return (await store.find('vms', self.vm))?.revision ?? null
-    } catch (error) {
-      logger.info('lookup of the local vm entry failed', { reason: String(error) })
-      return null
-    }
+  /** Writes this VM's entry in place of the one that the store has, unless they are equal. @returns the entry's revision */
+  async #replaceLocalEntry (): Promise<Revision> {
+    const { store, state: { self } } = this.#options
+    const found = await store.find('vms', self.vm)
+    return found !== undefined && isDeepStrictEqual(found.value, self) ? found.revision : await store.write('vms', self.vm, self, found?.revision ?? null)
   }
 
   /** Removes VMs that have left polls unanswered for so long that they are taken as stopped for good. */
