Use no record of pressed workspaces from an older copy of the store, and write it again

The record tells VMs that restart whose burst may be used at once. After a return from an older copy it may not name a workspace that has become pressed since: a VM that restarted then gave it its burst again. The VM that writes the record did not write it again before the workspaces near their limit changed, or ten seconds later.

The record carries its epoch. A VM that starts does not use one of another epoch and takes the prior use as unknown, as without a record; on a change of the epoch the record is due at once.

--- a/packages/gateway/src/limits/quota-record.ts
+++ b/packages/gateway/src/limits/quota-record.ts
@@ -14,6 +14,8 @@
 const DEMAND_INTERVAL_MS = 10_000
 
 const recordSchema = z.object({
+  /** Epoch of the store in which the record was written. */
+  epoch: z.number().default(0),
   /** Workspaces near their limit. */
   pressed: z.array(z.string()),
   /** For each VM, the operations requested from it in a window, as pairs of workspace and count. */
@@ -31,7 +33,8 @@
 /**
  * Keeps a record in the store of the workspaces near their limit and of the demand on each VM. When all VMs restart, they
  * read from it which workspaces may use their burst at once, and compute their shares from the recorded demand.
- * One VM, the first in rank, writes the record.
+ * One VM, the first in rank, writes the record. After the store has returned from an older copy it is written again; one
+ * from before is not used.
  */
 export class QuotaRecord {
   readonly #options: QuotaRecordOptions
@@ -42,6 +45,7 @@
 
   constructor (options: QuotaRecordOptions) {
     this.#options = options
+    options.store.epochs.subscribe(() => { this.#writtenAtMs = -Infinity })
   }
 
   /** Starts to read the record that was written before this process started; retries if that fails. */
@@ -69,7 +73,11 @@
       const record = recordSchema.safeParse(storedObject?.value)
       this.#revision = storedObject?.revision ?? null
       if (!record.success) return
-      const { pressed, demand } = record.data
+      const { pressed, demand, epoch } = record.data
+      if (epoch !== this.#revision?.epoch) {
+        logger.info('quota record not used, the metadata store has returned from an older copy', { epoch, storeEpoch: this.#revision?.epoch })
+        return
+      }
       logger.info('quota record read', { pressed })
       quotas.applyRecord(pressed, demand[members.self.vm])
     } catch (error) {
@@ -82,7 +90,7 @@
   async #write (pressed: string[]): Promise<void> {
     const { store, logger, clock, quotas } = this.#options
     try {
-      this.#revision = await store.write('quotas', OBJECT_NAME, { pressed, demand: quotas.listAllDemand() }, this.#revision)
+      this.#revision = await store.write('quotas', OBJECT_NAME, { epoch: store.epochs.current, pressed, demand: quotas.listAllDemand() }, this.#revision)
       this.#writtenNearLimit = pressed.join()
       this.#writtenAtMs = clock.readNow()
       logger.info('quota record written', { pressed })
