Recognise a version that is written again after the store returned from an older copy by its content

But a version whose number was used before the return, and that has other content now, was ignored for good: VMs that start later use it, the others not.

The holder knows the epoch in which it read its configuration. The same version of a later epoch is compared as JSON: the same content is the same configuration, other content replaces it. An earlier version that is not applied is logged.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -176,8 +176,8 @@
     logger,
     kind: 'configuration',
     coalesceMs: CONFIGURATION_COALESCE_MS,
-    applyListing: ({ items }) => { for (const { value } of items) if (value !== null) configuration.apply(value, 'list') },
-    applyChanges: changes => { for (const { object } of changes) if (object.value !== null) configuration.apply(object.value, 'watch') }
+    applyListing: ({ items }) => { for (const { value, revision } of items) if (value !== null) configuration.apply(value, 'list', revision.epoch) },
+    applyChanges: changes => { for (const { object } of changes) if (object.value !== null) configuration.apply(object.value, 'watch', object.revision.epoch) }
   })
   return [endpointsWatch, configurationWatch]
 }
