Tell operators when the store has returned from an older copy

A return left no trace but lists read again. Each VM now logs the epoch before and after with the revision numbers around it and the configuration's version in use, counts it in camphorpitch_gateway_store_epoch_changes_total, and shows the epoch in its status and in `camphorpitch gateways` (0 for a gateway that doesn't tell it).

--- a/packages/ctl/src/commands/gateway-commands.test.ts
+++ b/packages/ctl/src/commands/gateway-commands.test.ts
@@ -10,6 +10,7 @@
   vm: 'vm-1',
   isReady: true,
   configurationVersion: 7,
+  storeEpoch: 2,
   vms: { known: 8, heard: 6 },
   sessions: 25,
   services: [{ service: 'orders', primary: 'o-1', term: 3, isTrusted: false, acknowledged: { term: 3, index: 41 }, endpoints: 3, doubtful: [{ endpoint: 'o-2', doubts: ['lagging', 'avoided'] }] }],
@@ -46,11 +47,11 @@
 
   afterEach(() => { server.close() })
 
-  it('prints the configuration version, primaries, positions, use of limits and doubtful endpoints of a gateway', async () => {
+  it('prints the configuration version, the epoch of the store, primaries, positions, use of limits and doubtful endpoints of a gateway', async () => {
     const { code, out } = await run('gateways', address)
     expect(code).to.equal(0)
     expect(out.split('\n').slice(0, 3)).to.deep.equal([
-      'vm-1  ready  configuration 7  6 of 8 other vms responsive  25 sessions',
+      'vm-1  ready  configuration 7  store epoch 2  6 of 8 other vms responsive  25 sessions',
       '  service orders  primary o-1 term 3 (leadership not verified)  acknowledged 3/41  3 endpoints  o-2: lagging, avoided',
       '  workspace lab  demand 30 of 50 operations per window  share 13%'
     ])
--- a/packages/ctl/src/commands/gateway-commands.ts
+++ b/packages/ctl/src/commands/gateway-commands.ts
@@ -45,9 +45,9 @@
 
 function describeResult (result: StatusResult): string[] {
   if ('error' in result) return [`${result.address}  status request failed: ${result.error}`]
-  const { vm, isReady, configurationVersion, vms, sessions, services, workspaces } = result.status
+  const { vm, isReady, configurationVersion, storeEpoch, vms, sessions, services, workspaces } = result.status
   return [
-    `${vm}  ${isReady ? 'ready' : 'not ready'}  configuration ${configurationVersion}  ${vms.heard} of ${vms.known} other vms responsive  ${sessions} sessions`,
+    `${vm}  ${isReady ? 'ready' : 'not ready'}  configuration ${configurationVersion}  store epoch ${storeEpoch}  ${vms.heard} of ${vms.known} other vms responsive  ${sessions} sessions`,
     ...services.map(describeService),
     ...workspaces.slice(0, MAX_SHOWN_WORKSPACES).map(w => `  workspace ${w.workspace}  demand ${Math.round(w.demand)} of ${Math.round(w.allowed)} operations per window  share ${Math.round(w.share * PERCENT)}%`)
   ]
--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -110,7 +110,7 @@
   return {
     metrics,
     isReady,
-    readStatus: () => createGatewayStatus({ ...components, isReady, countSessions: () => sessions.size }),
+    readStatus: () => createGatewayStatus({ ...components, store: adapters.store, isReady, countSessions: () => sessions.size }),
     drain: async () => {
       isDraining = true
       await drainSessions({ clock, logger, graceMs: settings.graceS * 1_000, listSessions: () => [...sessions] })
@@ -159,9 +159,13 @@
   return new WsPeerNetwork({ self: hello, clock: new MonotonicClock(), logger, findAddress })
 }
 
-function startWatches ({ adapters: { store }, logger, clock, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
+function startWatches ({ adapters: { store }, logger, clock, metrics, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
   const handleStoreRecovery = (): void => recordStoreRecovery(directory, clock.readNow())
-  store.epochs.subscribe(handleStoreRecovery)
+  store.epochs.subscribe(change => {
+    logger.warn('metadata store returned from an older copy', { ...change, configurationVersion: configuration.version })
+    metrics.storeEpochChanges.inc()
+    handleStoreRecovery()
+  })
   const endpointsWatch = watchKind({
     store,
     logger,
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -13,6 +13,7 @@
   promotions: Counter<'service' | 'result'>
   sessions: Gauge
   configurationVersion: Gauge
+  storeEpochChanges: Counter
 }
 
 /** Creates the metrics with a registry of their own. */
@@ -28,6 +29,7 @@
     connectionsOpened: new Counter({ name: 'camphorpitch_gateway_connections_opened_total', help: 'Connections opened to endpoints', labelNames: ['service'], registers }),
     promotions: new Counter({ name: 'camphorpitch_gateway_promotions_total', help: 'Promotions attempted by this VM', labelNames: ['service', 'result'], registers }),
     sessions: new Gauge({ name: 'camphorpitch_gateway_sessions', help: 'Open client sessions', registers }),
-    configurationVersion: new Gauge({ name: 'camphorpitch_gateway_configuration_version', help: 'Version in force', registers })
+    configurationVersion: new Gauge({ name: 'camphorpitch_gateway_configuration_version', help: 'Version in force', registers }),
+    storeEpochChanges: new Counter({ name: 'camphorpitch_gateway_store_epoch_changes_total', help: 'Times that the metadata store returned from an older copy', registers })
   }
 }
--- a/packages/gateway/src/telemetry/gateway-status.ts
+++ b/packages/gateway/src/telemetry/gateway-status.ts
@@ -5,12 +5,14 @@
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { QuotaCounter } from '../limits/quota-counter.ts'
+import type { MetadataStore } from '../metadata/metadata-store.ts'
 import { isUnresponsive } from '../pool/endpoint-health.ts'
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
 
 export interface StatusSources {
   clock: Clock
   configuration: ConfigurationHolder
+  store: MetadataStore
   members: MemberState
   groups: GroupTable
   quotas: QuotaCounter
@@ -19,12 +21,13 @@
 }
 
 /** Describes for operators how this VM sees the fleet and the services, and what it uses. */
-export function createGatewayStatus ({ clock, configuration, members, groups, quotas, isReady, countSessions }: StatusSources): GatewayStatus {
+export function createGatewayStatus ({ clock, configuration, store, members, groups, quotas, isReady, countSessions }: StatusSources): GatewayStatus {
   const nowMs = clock.readNow()
   return {
     vm: members.self.vm,
     isReady: isReady(),
     configurationVersion: configuration.version,
+    storeEpoch: store.epochs.current,
     vms: { known: members.members.size, heard: listResponsive(members, nowMs).length },
     sessions: countSessions(),
     services: groups.list().slice(0, MAX_STATUS_SERVICES).map(g => describeGroup(g, nowMs)),
--- a/packages/wire/src/status/gateway-status.ts
+++ b/packages/wire/src/status/gateway-status.ts
@@ -15,6 +15,8 @@
   vm: z.string(),
   isReady: z.boolean(),
   configurationVersion: z.number().int(),
+  /** Epoch of the metadata store's revisions; rises each time the store returns from an older copy. */
+  storeEpoch: z.number().int().default(0),
   /** Number of other VMs that the gateway knows, and number of those that respond. */
   vms: z.object({ known: z.number().int(), heard: z.number().int() }),
   sessions: z.number().int(),
