--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -111,7 +111,7 @@
   return {
     metrics,
     isReady,
-    readStatus: () => createGatewayStatus({ ...components, isReady, countSessions: () => sessions.size }),
+    readStatus: () => createGatewayStatus({ ...components, store: adapters.store, isReady, countSessions: () => sessions.size }),
     drain: async () => {
       isDraining = true
       const stop = { clock, logger, startedAtMs: clock.readNow(), graceMs: settings.graceS * MS_PER_SECOND, listSessions: () => [...sessions] }
@@ -169,9 +169,13 @@
   return new WsPeerNetwork({ self: hello, clock: new MonotonicClock(), logger, findAddress })
 }
 
-function startWatches ({ adapters: { store }, logger, clock, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
+function startWatches ({ adapters: { store }, logger, clock, metrics, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
   const handleStoreRecovery = (): void => recordStoreRecovery(directory, clock.readNow())
-  store.epochs.subscribe(handleStoreRecovery)
+  store.epochs.subscribe(change => {
+    logger.warn('metadata store returned from an older copy', { ...change, configurationVersion: configuration.version })
+    metrics.storeEpochChanges.inc()
+    handleStoreRecovery()
+  })
   const endpointsWatch = watchKind({
     store,
     logger,
@@ -186,8 +190,8 @@
     logger,
     kind: 'configuration',
     coalesceMs: CONFIGURATION_COALESCE_MS,
-    applyListing: ({ items }) => { for (const { value } of items) if (value !== null) configuration.apply(value, 'list') },
-    applyChanges: changes => { for (const { object } of changes) if (object.value !== null) configuration.apply(object.value, 'watch') }
+    applyListing: ({ items }) => { for (const { value, revision } of items) if (value !== null) configuration.apply(value, 'list', revision.epoch) },
+    applyChanges: changes => { for (const { object } of changes) if (object.value !== null) configuration.apply(object.value, 'watch', object.revision.epoch) }
   })
   return [endpointsWatch, configurationWatch]
 }
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -15,6 +15,7 @@
   sessionEnds: Counter<'cause'>
   unansweredStatements: Counter<'cause'>
   configurationVersion: Gauge
+  storeEpochChanges: Counter
 }
 
 /** Creates the metrics with a registry of their own. */
@@ -32,6 +33,7 @@
     sessions: new Gauge({ name: 'camphorpitch_gateway_sessions', help: 'Open client sessions', registers }),
     sessionEnds: new Counter({ name: 'camphorpitch_gateway_session_ends_total', help: 'Ended client sessions, by cause', labelNames: ['cause'], registers }),
     unansweredStatements: new Counter({ name: 'camphorpitch_gateway_unanswered_statements_total', help: 'Statements received but not answered when their session ended, by cause', labelNames: ['cause'], registers }),
-    configurationVersion: new Gauge({ name: 'camphorpitch_gateway_configuration_version', help: 'Version in force', registers })
+    configurationVersion: new Gauge({ name: 'camphorpitch_gateway_configuration_version', help: 'Version in force', registers }),
+    storeEpochChanges: new Counter({ name: 'camphorpitch_gateway_store_epoch_changes_total', help: 'Times that the metadata store returned from an older copy', registers })
   }
 }
