--- a/packages/load/src/fleet/child-process.ts
+++ b/packages/load/src/fleet/child-process.ts
@@ -24,6 +24,8 @@
   pid: number
   /** The `listening` log line, by which the process reported that it is ready. */
   ready: LogLine
+  /** Resolves when the process has ended. */
+  exited: Promise<void>
   /** Sends a signal without waiting for its effect. */
   signal: (name: NodeJS.Signals) => void
   /** Sends SIGTERM, and SIGKILL if the process is still running after a timeout. Resolves to the exit code, or `null` if a signal ended the process. */
@@ -58,6 +60,7 @@
   return {
     pid: child.pid as number,
     ready,
+    exited: hasExited(child) ? Promise.resolve() : once(child, 'exit').then(() => {}),
     signal: name => { child.kill(name) },
     stop: async () => await stopChild(child),
     kill: async () => await killChild(child)
--- a/packages/load/src/fleet/loopback-link.ts
+++ b/packages/load/src/fleet/loopback-link.ts
@@ -30,7 +30,7 @@
 
   constructor (options: LoopbackLinkOptions) {
     this.#options = options
-    this.#server = createServer(client => this.#accept(client))
+    this.#server = createServer({ allowHalfOpen: true }, client => this.#accept(client))
   }
 
   /** Port to which clients connect; 0 before the start. */
@@ -79,7 +79,7 @@
       client.resetAndDestroy()
       return
     }
-    const server = connect(this.#options.port, this.#options.host)
+    const server = connect({ port: this.#options.port, host: this.#options.host, allowHalfOpen: true })
     const pair = { client, server }
     this.#pairs.add(pair)
     this.#forward(client, server, 'silentToServer', pair)
@@ -89,16 +89,25 @@
   #forward (from: Socket, to: Socket, silentMode: LinkMode, pair: SocketPair): void {
     from.setNoDelay(true)
     const isSilent = (): boolean => this.mode === 'silent' || this.mode === silentMode
+    let lastDueAtMs = 0
+    // Keeps the order when the delay decreases.
+    const forwardLater = (forward: () => void): void => {
+      lastDueAtMs = Math.max(lastDueAtMs, performance.now() + this.delayMs)
+      const waitMs = lastDueAtMs - performance.now()
+      if (waitMs <= 0) forward()
+      else setTimeout(forward, waitMs)
+    }
     from.on('data', chunk => {
-      if (isSilent()) return
-      if (this.delayMs === 0) to.write(chunk)
-      else setTimeout(() => { if (!to.destroyed) to.write(chunk) }, this.delayMs)
+      if (!isSilent()) forwardLater(() => { if (!to.destroyed) to.write(chunk) })
+    })
+    from.on('end', () => {
+      if (!isSilent()) forwardLater(() => to.end())
     })
-    // When one side closes or fails, the other is closed too; the error itself is of no use.
+    // When one side fails, the other is closed too; the error itself is of no use.
     from.on('error', () => to.destroy())
     from.on('close', () => {
       this.#pairs.delete(pair)
-      if (!isSilent()) setTimeout(() => to.destroy(), this.delayMs)
+      if (!isSilent() && !from.readableEnded) forwardLater(() => to.destroy())
     })
   }
 }
