--- a/packages/load/src/fleet/loopback-link.ts
+++ b/packages/load/src/fleet/loopback-link.ts
@@ -11,6 +11,11 @@
   host: string
   /** Port of the server to which the link forwards. */
   port: number
+  /**
+   * Called when the server resets a connection, as it does when it closes one with data that it has not read, with the port
+   * of the client's end.
+   */
+  onServerReset?: (clientPort: number) => void
 }
 
 interface SocketPair { client: Socket, server: Socket }
@@ -81,6 +86,8 @@
     }
     const server = connect({ port: this.#options.port, host: this.#options.host, allowHalfOpen: true })
     const pair = { client, server }
+    const clientPort = client.remotePort ?? 0
+    server.on('error', () => this.#options.onServerReset?.(clientPort))
     this.#pairs.add(pair)
     this.#forward(client, server, 'silentToServer', pair)
     this.#forward(server, client, 'silentToClient', pair)
@@ -103,8 +110,9 @@
     from.on('end', () => {
       if (!isSilent()) forwardLater(() => to.end())
     })
-    // When one side fails, the other is closed too; the error itself is of no use.
-    from.on('error', () => to.destroy())
+    from.on('error', () => {
+      if (!isSilent()) forwardLater(() => to.resetAndDestroy())
+    })
     from.on('close', () => {
       this.#pairs.delete(pair)
       if (!isSilent() && !from.readableEnded) forwardLater(() => to.destroy())
