--- a/packages/load/src/fleet/loopback-link.test.ts
+++ b/packages/load/src/fleet/loopback-link.test.ts
@@ -89,6 +89,18 @@
     expect(received).to.equal('one')
   })
 
+  it('stops after the server closed a connection while the link was silent', async () => {
+    const client = await openClient()
+    client.write('one')
+    await waitUntil(() => received === 'one')
+    link.setMode('silent')
+    accepted[0]!.resetAndDestroy()
+    await new Promise(resolve => setTimeout(resolve, 20))
+    expect(client.destroyed).to.equal(false)
+    await link.stop()
+    await link.start()
+  })
+
   it('delays data in each direction', async () => {
     const client = await openClient()
     link.setMode('open', 50)
--- a/packages/load/src/fleet/loopback-link.ts
+++ b/packages/load/src/fleet/loopback-link.ts
@@ -114,7 +114,7 @@
       if (!isSilent()) forwardLater(() => to.resetAndDestroy())
     })
     from.on('close', () => {
-      this.#pairs.delete(pair)
+      if (to.destroyed) this.#pairs.delete(pair)
       if (!isSilent() && !from.readableEnded) forwardLater(() => to.destroy())
     })
   }
