Bound the log lines about statements that arrive after their session was closed

Warnings are never left out of the log, so a client that keeps sending on a closed connection could fill it, and a client that leaves in the middle of a statement was logged as a warning although the gateway had cut nothing. The ids of eight statements of a session are logged at most, all are counted, and an end by the client itself is not a warning.

--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -7,7 +7,7 @@
 import { authenticate, type Admission } from './authenticate.ts'
 import { createSessionState, decideStatement, type StatementPlan } from './decide-statement.ts'
 import { SessionCloser } from './session-closer.ts'
-import type { SessionActivity, SessionEndCause, SessionEnding } from './session-end.ts'
+import { MAX_LOGGED_IDS, type SessionActivity, type SessionEndCause, type SessionEnding } from './session-end.ts'
 import type { SessionHost } from './session-host.ts'
 
 /** Number of queued statements from which on no more of the client's input is read. */
@@ -50,7 +50,8 @@
   #isAnswered = false
   #endCause: SessionEndCause | null = null
   #isEndRecorded = false
-  /** Statements that arrived after the session was closed. */
+  /** Number and first ids of the statements that arrived after the session was closed. */
+  #droppedCount = 0
   readonly #droppedIds: string[] = []
   /** Why the open transaction is to be rolled back after its running statement. */
   #pendingTransactionEnd: string | null = null
@@ -107,12 +108,14 @@
   recordEnd (cause: SessionEndCause): void {
     if (this.#isEndRecorded) return
     this.#isEndRecorded = true
+    const pendingIds = this.#listUnansweredIds()
     this.#host.recordSessionEnd({
       session: this.id,
       cause: this.#endCause ?? cause,
       version: this.#host.readConfiguration()?.version,
       answered: this.#answeredCount,
-      unansweredIds: [...this.#listUnansweredIds(), ...this.#droppedIds],
+      unanswered: pendingIds.length + this.#droppedCount,
+      unansweredIds: [...pendingIds, ...this.#droppedIds].slice(0, MAX_LOGGED_IDS),
       input: this.#transport.readInputState()
     })
   }
@@ -225,6 +228,8 @@
   }
 
   #recordDropped (queued: QueuedStatement): void {
+    this.#droppedCount++
+    if (this.#droppedIds.length >= MAX_LOGGED_IDS) return
     const id = readStatementId(queued)
     this.#droppedIds.push(id)
     this.#host.logger.warn('statement received after its session was closed', { id, session: this.id, cause: this.#endCause, sinceCloseMs: this.#closer.sinceCloseMs })
--- a/packages/gateway/src/sessions/session-end.ts
+++ b/packages/gateway/src/sessions/session-end.ts
@@ -38,20 +38,23 @@
   version: number | undefined
   /** Number of statements that were responded to. */
   answered: number
-  /** Statements that were received and not responded to; `-` stands for one without a valid id. */
+  /** Number of statements that were received and not responded to. */
+  unanswered: number
+  /** Their first ids; `-` stands for a statement without a valid one. */
   unansweredIds: readonly string[]
   input: InputState
 }
 
-/** Maximum number of statement ids in one log line. */
-const MAX_LOGGED_IDS = 8
+/** Maximum number of a session's unanswered statements whose ids are logged. */
+export const MAX_LOGGED_IDS = 8
 
-/** Logs and counts the end of a session. One that left statements unanswered is logged as a warning. */
+/** Logs and counts the end of a session. It is a warning if statements were left unanswered and the client did not end the session itself. */
 export function recordSessionEnd (end: SessionEnd, logger: Logger, metrics: Pick<GatewayMetrics, 'sessionEnds' | 'unansweredStatements'>): void {
-  const { cause, unansweredIds, input, ...rest } = end
+  const { cause, unanswered, input, ...rest } = end
   metrics.sessionEnds.inc({ cause })
-  if (unansweredIds.length > 0) metrics.unansweredStatements.inc({ cause }, unansweredIds.length)
-  logger.log(unansweredIds.length > 0 ? 'warn' : 'info', 'session ended', { ...rest, cause, unanswered: unansweredIds.length, unansweredIds: unansweredIds.slice(0, MAX_LOGGED_IDS), ...input })
+  if (unanswered > 0) metrics.unansweredStatements.inc({ cause }, unanswered)
+  const isClientEnd = cause === 'clientClosed' || cause === 'clientTerminated'
+  logger.log(unanswered > 0 && !isClientEnd ? 'warn' : 'info', 'session ended', { ...rest, cause, unanswered, ...input })
 }
 
 /** Counts sessions by what they do. */
