Keep the failover claim while an order may still take effect

What callers saw: two endpoints promoted 0.3 s apart, writes to the first of them refused or in doubt.

Cause: after its order a VM waits 3.5 s for the effect, but its claim may be taken over 4 s after it was made. With a second spent on leases, another VM claimed the duty, compared the same replicas and promoted a second one while the first order was still on its way.

Fix: while it waits for the effect, the VM claims again when its claim expires (2.8 s). An expired claim whose renewal the store does not answer is left, as before.

Test: `keeps its claim meanwhile` failed before with an order of a second VM for another replica. A lost commit was not shown by it: the second VM fenced at a later term than the first order's. Not covered: an order that takes effect later than 3.5 s after it was given.

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -70,7 +70,7 @@
     }
   })
 
-  describe('whose claim lapsed while it waited for its order to take effect', () => {
+  describe('whose claim lapsed while it waited for its order to take effect and did not reach the store', () => {
     it('resumes no replica that a later promotion has paused', async () => {
       const [vm1, vm2, vm3] = ['vm1', 'vm2', 'vm3'].map(name => fleet.startVm(name)) as [SimulatedVm, SimulatedVm, SimulatedVm]
       for (const vm of [vm1, vm2, vm3]) vm.addEndpoints()
@@ -81,9 +81,11 @@
       const first = vm1.promote('primary lost')
       await fleet.advance(100)
       expect(await Promise.race([vm2.promote('primary lost'), fleet.advance(20)])).to.equal(null)
+      vm1.isStoreReachable = false
       await fleet.advance(4_000)
       vm1.connector.unreachable.add('a')
       const second = vm2.promote('primary lost')
+      vm1.isStoreReachable = true
       for (let i = 0; i < 100; i++) {
         vm3.commit()
         await fleet.advance(50)
@@ -94,6 +96,33 @@
     })
   })
 
+  describe('whose order takes effect late', () => {
+    it('keeps its claim meanwhile, so that no other VM promotes a second endpoint', async () => {
+      const [vm1, vm2, vm3, vm4] = ['vm1', 'vm2', 'vm3', 'vm4'].map(name => fleet.startVm(name)) as [SimulatedVm, SimulatedVm, SimulatedVm, SimulatedVm]
+      fleet.group.find('a').isDraining = true
+      vm1.addEndpoints()
+      fleet.group.find('a').isDraining = false
+      for (const vm of [vm2, vm3, vm4]) vm.addEndpoints()
+      vm3.commit()
+      await fleet.advance(50)
+      vm1.unreachableVms.add('vm4')
+      vm1.promotionDelayMs = 3_300
+      const first = vm1.promote('primary lost')
+      await fleet.advance(100)
+      fleet.group.find('a').isDeaf = true
+      let second: Promise<string | null> | undefined
+      for (let i = 0; i < 300; i++) {
+        if (vm2.group.state.primary?.endpoint === 'p') second ??= vm2.promote('primary lost').finally(() => { second = undefined })
+        if (fleet.group.leader?.endpoint === 'b') vm3.group.adoptPrimary('b', 2, 'test')
+        vm3.commit()
+        await fleet.advance(20)
+      }
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await first).to.equal('b')
+      expect(vm2.orders).to.deep.equal([])
+    })
+  })
+
   describe('while a replica restarts without its log', () => {
     it('does not promote it on the strength of a position that it had before', async () => {
       const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -303,7 +303,12 @@
   return await waitForEffect(attempt, endpoint)
 }
 
-/** Polls the endpoint until it reports that it is primary. @returns `null` if it did not in time */
+/**
+ * Polls the endpoint until it reports that it is primary. Keeps the claim meanwhile, so that no other VM promotes a second endpoint while
+ * this order may still take effect.
+ *
+ * @returns `null` if it did not in time
+ */
 async function waitForEffect (attempt: Attempt, endpoint: string): Promise<string | null> {
   const { host, group, replicas, oldPrimary } = attempt
   const entry = [...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].find(e => e.endpoint === endpoint)
@@ -311,6 +316,7 @@
   if (entry === undefined) return null
   while (host.clock.readNow() < deadlineMs) {
     await waitFor(STATUS_INTERVAL_MS)
+    await updateClaim(attempt)
     const sentAtMs = host.clock.readNow()
     const [known] = await runOnAll(attempt, [entry], async c => await c.readStatus())
     if (known?.status.role !== 'primary') continue
@@ -329,30 +335,42 @@
 async function finishAttempt (attempt: Attempt, promoted: string | null): Promise<void> {
   const { host, group, replicas, oldPrimary, term } = attempt
   if (promoted !== null) host.publishOutcome(group, promoted, term, attempt.leadershipVerifiedAtMs)
-  const claim = await claimAgain(attempt)
-  if (claim === null) return
+  if (!await ensureClaim(attempt)) return
   if (promoted === null) host.publishOutcome(group, null, term, attempt.leadershipVerifiedAtMs)
   const others = replicas.filter(e => e.endpoint !== promoted)
   await runOnAll(attempt, others, async c => await c.resume())
   if (oldPrimary !== undefined && promoted !== null && promoted !== oldPrimary.endpoint) await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
-  await host.claims.release(claim)
+  await host.claims.release(attempt.claim)
 }
 
-/** Claims the duty again if the attempt's claim has expired. @returns `null` if another VM holds it, or the store has not responded for some seconds */
-async function claimAgain ({ host, group, claim }: Attempt): Promise<Claim | null> {
-  if (host.claims.isUsable(claim)) return claim
+/** Claims the duty again if the attempt's claim has expired. @returns whether this VM holds it; `undefined` if the store did not respond */
+async function updateClaim (attempt: Attempt): Promise<boolean | undefined> {
+  const { host, group } = attempt
+  if (host.claims.isUsable(attempt.claim)) return true
+  try {
+    const renewed = await host.claims.claim(group.service)
+    attempt.claim = renewed ?? attempt.claim
+    return renewed !== null
+  } catch (error) {
+    host.logger.info('renewal of the failover claim failed', { service: group.service, reason: describeError(error) })
+    return undefined
+  }
+}
+
+/** Ensures that this VM holds the claim; retries for some seconds while the store does not respond. @returns whether it does */
+async function ensureClaim (attempt: Attempt): Promise<boolean> {
+  const { host, group } = attempt
   for (let attempts = 1; attempts <= MAX_RENEWAL_ATTEMPTS; attempts++) {
-    try {
-      const renewed = await host.claims.claim(group.service)
-      if (renewed === null) host.logger.warn('replicas not resumed, another VM holds the failover claim', { service: group.service })
-      return renewed
-    } catch (error) {
-      host.logger.info('renewal of the failover claim failed', { service: group.service, reason: describeError(error) })
-      await waitFor(RENEWAL_RETRY_DELAY_MS)
+    const isHeld = await updateClaim(attempt)
+    if (isHeld === true) return true
+    if (isHeld === false) {
+      host.logger.warn('replicas not resumed, another VM holds the failover claim', { service: group.service })
+      return false
     }
+    await waitFor(RENEWAL_RETRY_DELAY_MS)
   }
   host.logger.warn('replicas not resumed, the failover claim has expired and the store does not respond', { service: group.service })
-  return null
+  return false
 }
 
 interface EndpointResult { entry: EndpointEntry, status: EndpointStatus }
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -17,7 +17,6 @@
 
 const MESSAGE_DELAY_MS = 3
 const STATEMENT_TIMEOUT_MS = 2_000
-const PROMOTION_DELAY_MS = 400
 
 /** VMs with their own views of a simulated group, which run the product's promotions. */
 export class SimulatedFleet {
@@ -71,6 +70,9 @@
   isRunning = true
   /** Whether promotion orders of this VM are dropped on the way. */
   losesOrders = false
+  isStoreReachable = true
+  /** Time from an order of this VM to its effect. */
+  promotionDelayMs = 400
   readonly #fleet: SimulatedFleet
   readonly #host: PromotionHost
   readonly #handler: FleetMessageHandler
@@ -161,7 +163,7 @@
   /** Creates the VM's access to the fleet's store, which ends when the VM stops. */
   #createStore (): MetadataStore {
     const { store } = this.#fleet
-    const ensureRunning = (): void => { if (!this.isRunning) throw new MetadataError('the VM has stopped') }
+    const ensureRunning = (): void => { if (!this.isRunning || !this.isStoreReachable) throw new MetadataError('the VM does not reach the store') }
     const access: Pick<MetadataStore, 'find' | 'write'> = {
       find: async (kind, name) => { ensureRunning(); return await store.find(kind, name) },
       write: async (kind, name, value, revision) => { ensureRunning(); return await store.write(kind, name, value, revision) }
@@ -187,7 +189,7 @@
       return 'unknown'
     }
     const orderedAtMs = Date.now()
-    setTimeout(() => this.#fleet.group.promote(order.endpoint, orderedAtMs), PROMOTION_DELAY_MS)
+    setTimeout(() => this.#fleet.group.promote(order.endpoint, orderedAtMs), this.#vm.promotionDelayMs)
     return 'accepted'
   }
 }
