Tell VMs that start of replicas that left before

What callers saw: after the VMs had restarted in turn, a promotion lost a commit that only a departed replica had received (LOST).

Cause: departures are kept in memory, and a VM passed them on only when it confirmed a revocation. Once every VM had restarted since, nobody knew of the departure.

Fix: reports between VMs list the departures that the remaining logs may not cover yet, eight a group at most. There are none as soon as a commit was acknowledged after the primary's first response, so an ordinary report is as long as before.

Test: `after the VMs have restarted in turn` failed before with `a lacks 1.1`. Not covered: all VMs restart at once while a departure is uncovered.

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -195,6 +195,19 @@
       expect(promoted).to.not.equal('a')
     })
 
+    it('promotes no replica that lacks such a commit after the VMs have restarted in turn', async () => {
+      await setUpDeparture(() => leave('b'))
+      for (const name of ['vm1', 'vm2']) {
+        fleet.vms.get(name)!.kill()
+        fleet.startVm(name).addEndpoints()
+        await fleet.advance(200)
+        fleet.exchangeReports()
+      }
+      const promoted = await crashAndPromote(fleet.vms.get('vm2')!)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(promoted).to.equal(null)
+    })
+
     it('promotes a replica that has received the rest of the log since then', async () => {
       const vm = await setUpDeparture(() => leave('b'))
       fleet.group.find('a').isDeaf = false
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -3,7 +3,7 @@
 import type { FailoverWatch } from '../failover/failover-watch.ts'
 import type { PromotionHost, Revocation } from '../failover/run-promotion.ts'
 import { isLeadershipRevoked, recordLeadership, restoreLeadership, revokeLeadership } from '../freshness/group-state.ts'
-import type { EndpointStart, ReportedDeparture } from '../groups/departures.ts'
+import { listUncovered, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { QuotaRecord } from '../limits/quota-record.ts'
@@ -99,6 +99,8 @@
       demand: quotas.listDemand(),
       configurationVersion: configuration.version
     }
+    const departures = groups.list().flatMap(g => listUncovered(g.departures, g.state.acknowledged).map(({ endpoint, startedAtMs }) => ({ service: g.service, endpoint, startedAtMs })))
+    if (departures.length > 0) report.departures = departures
     const recentlyResponsive = listRecentlyResponsive(members, nowMs)
     if (members.hasMemberList && recentlyResponsive.length + 1 > poll.vmsKnown) report.vms = recentlyResponsive.map(m => m.entry)
     return report
@@ -114,6 +116,7 @@
       const group = groups.find(groupReport.service)
       if (group !== undefined) applyGroupReport(group, vm, groupReport, pollSentAtMs)
     }
+    for (const departure of report.departures ?? []) groups.find(departure.service)?.addReportedDeparture(departure)
     quotas.recordVmDemand(vm, report.demand)
   }
 
--- a/packages/gateway/src/fleet/message-schemas.ts
+++ b/packages/gateway/src/fleet/message-schemas.ts
@@ -73,6 +73,8 @@
   /** Number of operations requested in the last window, by workspace. */
   demand: z.array(z.tuple([z.string(), z.number()])),
   configurationVersion: z.number().int(),
+  /** Endpoints that have left their groups, and whose commits the remaining ones may not hold yet; absent if there are none. */
+  departures: z.array(z.object({ service: z.string(), endpoint: z.string(), startedAtMs: z.number() })).optional(),
   /** All VMs that the sender knows to be running; only if the poll's sender knows fewer. */
   vms: z.array(vmEntrySchema).optional()
 })
--- a/packages/gateway/src/groups/departures.ts
+++ b/packages/gateway/src/groups/departures.ts
@@ -3,6 +3,8 @@
 
 /** Departures kept for a group; the oldest is dropped first. */
 const MAX_DEPARTURES = 64
+/** Departures of a group that a VM reports to the others. */
+const MAX_REPORTED_DEPARTURES = 8
 
 /** An endpoint that was removed from the directory, or that started again without its log. */
 export interface Departure {
@@ -28,7 +30,7 @@
 }
 
 /** Adds a departure. */
-export function addDeparture (departures: Departure[], { endpoint, startedAtMs }: EndpointEntry, nowMs: number): void {
+export function addDeparture (departures: Departure[], { endpoint, startedAtMs }: EndpointStart, nowMs: number): void {
   departures.push({ endpoint, startedAtMs, noticedAtMs: nowMs, logEnd: null })
   if (departures.length > MAX_DEPARTURES) departures.shift()
 }
@@ -38,6 +40,11 @@
   for (const departure of departures) departure.logEnd = null
 }
 
+/** Lists the latest departures that a candidate's log might not cover: no commit beyond their log end is known to be acknowledged. */
+export function listUncovered (departures: readonly Departure[], acknowledged: LogPosition | null): Departure[] {
+  return departures.filter(({ logEnd }) => logEnd === null || acknowledged === null || comparePositions(acknowledged, logEnd) <= 0).slice(-MAX_REPORTED_DEPARTURES)
+}
+
 /** Removes the departure of an endpoint that has come back with its log. */
 export function removeDeparture (departures: Departure[], { endpoint, startedAtMs }: EndpointEntry): void {
   const index = departures.findIndex(d => d.endpoint === endpoint && d.startedAtMs === startedAtMs)
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -7,7 +7,7 @@
 import { recordResponse, recordSent, recordNoResponse } from '../pool/endpoint-health.ts'
 import { EndpointPool } from '../pool/endpoint-pool.ts'
 import { waitAtMost } from '../runtime/wait-at-most.ts'
-import { addDeparture, recordLogEnd, removeDeparture, resetLogEnds, type Departure } from './departures.ts'
+import { addDeparture, recordLogEnd, removeDeparture, resetLogEnds, type Departure, type EndpointStart } from './departures.ts'
 
 /** A draining endpoint gets no new work after this long, although it continues to serve for some seconds more. */
 export const MAX_DRAINING_USE_MS = 4_000
@@ -93,6 +93,12 @@
     this.#publishChange()
   }
 
+  /** Records a departure that another VM has seen, for which this VM may have started too late. */
+  addReportedDeparture (start: EndpointStart): void {
+    const isKnown = [...[...this.pools.values()].map(p => p.entry), ...this.departures].some(e => e.endpoint === start.endpoint && e.startedAtMs === start.startedAtMs)
+    if (!isKnown) addDeparture(this.departures, start, this.#options.clock.readNow())
+  }
+
   /**
    * Records which endpoint leads, unless a primary of a newer term is known.
    *
