Write down what a change of the primary relies on

Adds two tests that promotions remain possible: with VMs that have all just started, and right after both replicas were replaced.

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import { SimulatedEndpoint } from '../testing/simulated-group.ts'
 import { SimulatedFleet, type SimulatedVm } from '../testing/simulated-vm.ts'
 import type { PromotionReason } from './decide-promotion.ts'
 
@@ -22,6 +23,38 @@
     expect(vm1.group.state.primary).to.deep.equal({ endpoint: 'a', term: 2 })
   })
 
+  it('remains possible if every VM has just started and no commit is known', async () => {
+    const vm = fleet.startVm('vm1')
+    vm.addEndpoints()
+    fleet.group.find('p').isRunning = false
+    const promoted = vm.promote('primary lost')
+    await fleet.advance(3_000)
+    expect(await promoted).to.equal('a')
+  })
+
+  it('remains possible right after both replicas were replaced one after the other', async () => {
+    const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+    for (const vm of [vm1, vm2]) vm.addEndpoints()
+    const { endpoints } = fleet.group
+    for (const [leaving, added] of [['a', 'c'], ['b', 'd']] as const) {
+      vm1.commit()
+      await fleet.advance(500)
+      endpoints.delete(leaving)
+      for (const vm of [vm1, vm2]) vm.group.removeEntry(leaving)
+      endpoints.set(added, new SimulatedEndpoint(added))
+      endpoints.get(added)!.startAgain()
+      for (const vm of [vm1, vm2]) vm.addEndpoints(added)
+      await fleet.advance(500)
+    }
+    vm1.commit()
+    await fleet.advance(100)
+    fleet.group.find('p').isRunning = false
+    const promoted = vm2.promote('primary lost')
+    await fleet.advance(3_000)
+    expect(await promoted).to.equal('c')
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
   describe('by a VM that has not learned of an earlier promotion', () => {
     /** `p` has been replaced by `a`, which vm2 does not know. Clients of vm1 commit at `a` throughout, and the commits reach only one of `p` and `b`. */
     async function promoteWithStaleView (reason: PromotionReason, isolate: (vm1: SimulatedVm, vm2: SimulatedVm) => void): Promise<string | null> {
