Cancel a promotion if a later primary becomes known, but not for a fenced one

Two gaps in the check for a later primary: - A VM that learned of one during its attempt, say in the second that it waits for leases, still ordered its promotion. It checks its own knowledge again right before the order now, and in a planned change before the primary steps down. - With no primary known, an idle VM that still took a replica for the primary made every attempt of the others end without a promotion. A replica that the attempt has fenced does not lead, whoever says so.

Tests: `is cancelled if the VM learns of a later primary meanwhile` and `is not prevented by another VM that takes a fenced endpoint for the primary` failed before (promoted `a`, and nothing, respectively).

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -55,6 +55,32 @@
     expect(fleet.group.lost).to.deep.equal([])
   })
 
+  it('is not prevented by another VM that takes a fenced endpoint for the primary', async () => {
+    const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+    for (const vm of [vm1, vm2]) vm.addEndpoints()
+    vm1.commit()
+    vm2.commit()
+    await fleet.advance(50)
+    fleet.group.find('p').demote(2)
+    vm1.group.resetPrimary()
+    const promoted = vm1.promote('no primary')
+    await fleet.advance(3_000)
+    expect(await promoted).to.equal('p')
+  })
+
+  it('is cancelled if the VM learns of a later primary meanwhile', async () => {
+    const vm1 = fleet.startVm('vm1')
+    fleet.startVm('vm2').kill()
+    vm1.addEndpoints()
+    fleet.group.find('p').isRunning = false
+    const promoted = vm1.promote('primary lost')
+    await fleet.advance(900)
+    vm1.group.adoptPrimary('b', 2, 'test')
+    await fleet.advance(5_000)
+    expect(await promoted).to.equal(null)
+    expect(vm1.orders).to.deep.equal([])
+  })
+
   describe('by a VM that has not learned of an earlier promotion', () => {
     /** `p` has been replaced by `a`, which vm2 does not know. Clients of vm1 commit at `a` throughout, and the commits reach only one of `p` and `b`. */
     async function promoteWithStaleView (reason: PromotionReason, isolate: (vm1: SimulatedVm, vm2: SimulatedVm) => void): Promise<string | null> {
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -114,11 +114,11 @@
   const isPlanned = reason === 'primary draining'
   await updateTerm(attempt)
   const pendingRevocation = host.revoke(group, attempt.term, isPlanned, isPlanned ? PLANNED_REVOKE_TIMEOUT_MS : REVOKE_TIMEOUT_MS)
-  if (isPlanned) await pendingRevocation
+  if (isPlanned) ensureLatestPrimary(attempt, (await pendingRevocation).latestPrimary)
   let fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
   const fencedAtMs = host.clock.readNow()
   const revocation = await pendingRevocation
-  ensureLatestPrimary(attempt, revocation.latestPrimary)
+  ensureLatestPrimary(attempt, revocation.latestPrimary, fenced)
   if (!revocation.hasEveryVmConfirmed) {
     await waitForLeases(attempt, fencedAtMs)
     fenced = await verifyFence(attempt, fenced)
@@ -128,6 +128,7 @@
   const candidate = pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas, departures })
   host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: fenced.endpoints, unfencedReplicas, unknownReplicas, departures, acknowledged: revocation.acknowledged, hasEveryVmConfirmed: revocation.hasEveryVmConfirmed, hasEveryAcknowledgement: revocation.hasEveryAcknowledgement })
   if (candidate === undefined) return null
+  ensureLatestPrimary(attempt, group.state.primary, fenced)
   return await requestPromotion(attempt, candidate.endpoint)
 }
 
@@ -164,14 +165,17 @@
 }
 
 /**
- * Checks that no VM knows a later primary than the one to be replaced, and records it otherwise.
+ * Checks that `latest`, which this or another VM takes for the primary, is not a later one than that to be replaced. Records it otherwise.
+ * A replica that this attempt has fenced does not lead.
  *
- * @throws Error if one does
+ * @throws Error if it is later
  */
-function ensureLatestPrimary ({ group, knownPrimary }: Attempt, latest: KnownPrimary | null): void {
+function ensureLatestPrimary ({ group, knownPrimary, term }: Attempt, latest: KnownPrimary | null, fenced?: FencedGroup): void {
   if (latest === null || latest.endpoint === knownPrimary?.endpoint || latest.term <= (knownPrimary?.term ?? 0)) return
+  const isFenced = fenced?.endpoints.some(f => f.endpoint === latest.endpoint && !f.isOldPrimary) === true
+  if (isFenced && latest.term < term) return
   group.adoptPrimary(latest.endpoint, latest.term, 'promotion attempt')
-  throw new Error(`the primary to be replaced no longer leads: another VM knows ${latest.endpoint} as primary of term ${latest.term}`)
+  throw new Error(`the primary to be replaced no longer leads: a VM knows ${latest.endpoint} as primary of term ${latest.term}`)
 }
 
 /**
