Pause replicas above the term of an earlier pause

What callers saw: nothing yet; found by reading. The platform's page doesn't say whether a resumed replica still reports the term that it was paused for, and a pause takes effect only above the newest term. If it does, the second attempt to replace a primary of the same term pauses nothing, yet reads the earlier attempt's term in the answer and takes the replica as paused (LOST). And a replica that reported a later term than the attempt's ended each attempt.

Fix: a replica's status is read on the same connection before it is paused, and the pause goes above the term it reports. This no longer depends on that open question. A term that a replica was only paused for no longer counts as a newer term of the group. Costs one status request a replica and promotion.

Test: `pauses them again, even if they still report the term of the earlier pause` failed before with `a lacks 8 commits, 1.2 to 1.9`. It holds only for replicas that behave so, which no run against the platform has shown.

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -182,6 +182,32 @@
     })
   })
 
+  describe('after an earlier attempt has resumed the replicas', () => {
+    it('pauses them again, even if they still report the term of the earlier pause', async () => {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      for (const e of fleet.group.endpoints.values()) e.keepsTermOfPause = true
+      vm1.commit()
+      await fleet.advance(50)
+      vm1.connector.unreachable.add('p')
+      vm1.losesOrders = true
+      const first = vm1.promote('primary lost')
+      await fleet.advance(5_000)
+      expect(await first).to.equal(null)
+      vm1.losesOrders = false
+      vm1.unreachableVms.add('vm2')
+      const second = vm1.promote('primary lost')
+      await fleet.advance(1_260)
+      fleet.group.find('a').isDeaf = true
+      for (let i = 0; i < 100; i++) {
+        vm2.commit()
+        await fleet.advance(20)
+      }
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await second).to.equal('a')
+    })
+  })
+
   describe('while a replica restarts without its log', () => {
     it('does not promote it on the strength of a position that it had before', async () => {
       const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -1,5 +1,5 @@
 import { comparePositions, describeError, type Clock, type Logger, type LogPosition } from '@camphorpitch/wire'
-import type { EndpointStatus } from '../backend/endpoint-connector.ts'
+import type { EndpointConnection, EndpointStatus } from '../backend/endpoint-connector.ts'
 import type { Promoter } from '../backend/promoter.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import { LEADER_LEASE_MS, type KnownPrimary } from '../freshness/group-state.ts'
@@ -157,13 +157,30 @@
 function ensureNotReplaced ({ group, term, knownPrimary, oldPrimary }: Attempt, statuses: readonly EndpointResult[]): void {
   const leading = statuses.find(({ entry, status }) => status.role === 'primary' && status.term > (knownPrimary?.term ?? 0) && (entry !== oldPrimary || status.term >= term))
   if (leading !== undefined) group.adoptPrimary(leading.entry.endpoint, leading.status.term, 'promotion attempt')
-  const newer = statuses.find(({ status }) => status.pausedForTerm > term || (status.term >= term && status.pausedForTerm < term))
+  const newer = statuses.find(({ status }) => isNewer(status, term))
   if (leading === undefined && newer === undefined) return
   if (leading === undefined && group.state.primary?.term === knownPrimary?.term) group.resetPrimary()
   const { entry, status } = leading ?? newer!
   throw new Error(`the primary to be replaced no longer leads: ${entry.endpoint} reports role ${status.role}, term ${status.term}, paused for term ${status.pausedForTerm}; this attempt has term ${term}`)
 }
 
+/** Whether an endpoint has a term that fencing at `term` does not affect. A term that it was only paused for does not count. */
+function isNewer (status: EndpointStatus, term: number): boolean {
+  return status.term >= term && status.term > status.pausedForTerm
+}
+
+/**
+ * Pauses a replica at `term` or a later one. A pause takes effect only above the term of an earlier one, which the replica may still
+ * report although it was resumed.
+ *
+ * @returns its status, before the pause if it is none or has a newer term
+ */
+async function pauseReplica (connection: EndpointConnection, term: number): Promise<EndpointStatus | null> {
+  const before = await connection.readStatus()
+  if (before === null || before.role === 'primary' || isNewer(before, term)) return before
+  return await connection.pause(Math.max(term, before.pausedForTerm + 1))
+}
+
 /**
  * Checks that `latest`, which this or another VM takes for the primary, is not a later one than that to be replaced. Records it otherwise.
  * A replica that this attempt has fenced does not lead.
@@ -212,7 +229,7 @@
   const { host, replicas, term } = attempt
   const pendingDemotion = demoteOldPrimary(attempt)
   pendingDemotion.catch(() => {}) // Its result is needed only if a replica could not be paused.
-  const paused = await runOnAll(attempt, replicas, async c => await c.pause(term))
+  const paused = await runOnAll(attempt, replicas, async c => await pauseReplica(c, term))
   ensureNotReplaced(attempt, paused)
   const isPaused = (s: EndpointStatus): boolean => s.role === 'replica' && s.pausedForTerm >= term
   const endpoints = paused.filter(({ status }) => isPaused(status)).map(({ entry, status }) => describeFenced(entry, status, false))
--- a/packages/gateway/src/testing/simulated-group.ts
+++ b/packages/gateway/src/testing/simulated-group.ts
@@ -14,6 +14,9 @@
   role: 'primary' | 'replica' = 'replica'
   term = 1
   pausedForTerm = 0
+  /** Whether it reports the term of its latest pause after it was resumed as well, and refuses a pause at that term. */
+  keepsTermOfPause = false
+  isPaused = false
   log: LogPosition[] = []
   isRunning = true
   /** Whether it receives nothing from its primary. */
@@ -42,7 +45,14 @@
   }
 
   pause (term: number): void {
-    if (this.role === 'replica' && term > Math.max(this.term, this.pausedForTerm)) this.pausedForTerm = term
+    if (this.role !== 'replica' || term <= Math.max(this.term, this.pausedForTerm)) return
+    this.pausedForTerm = term
+    this.isPaused = true
+  }
+
+  resume (): void {
+    this.isPaused = false
+    if (!this.keepsTermOfPause) this.pausedForTerm = 0
   }
 
   demote (term: number): void {
@@ -55,6 +65,7 @@
       const firstOther = this.log.findIndex(p => !primary.hasReceived(p))
       if (firstOther >= 0) this.log.length = firstOther
       this.term = primary.term
+      this.isPaused = false
       this.pausedForTerm = 0
     }
     this.log.push(...primary.log.slice(this.log.length, this.log.length + count))
@@ -62,7 +73,7 @@
 
   /** Starts again with an empty log, as the same endpoint. */
   startAgain (): void {
-    Object.assign(this, { role: 'replica', pausedForTerm: 0, log: [], isRunning: true, startedAtMs: Date.now() })
+    Object.assign(this, { role: 'replica', isPaused: false, pausedForTerm: 0, log: [], isRunning: true, startedAtMs: Date.now() })
   }
 }
 
@@ -106,7 +117,7 @@
     const running = [...this.endpoints.values()].filter(e => e.isRunning)
     const primaries = running.filter(e => e.role === 'primary').sort((a, b) => b.term - a.term)
     for (const replica of running.filter(e => e.role === 'replica' && !e.isDeaf)) {
-      const primary = primaries.find(p => p.term >= replica.term && (p.term > replica.term || replica.pausedForTerm === 0) && p.term >= replica.pausedForTerm)
+      const primary = primaries.find(p => p.term >= replica.term && (!replica.isPaused || (p.term > replica.term && p.term >= replica.pausedForTerm)))
       if (primary !== undefined) replica.follow(primary, count)
     }
     this.#pendingCommits = this.#pendingCommits.filter(({ primary, position, handleAcknowledged }) => {
@@ -127,7 +138,7 @@
     const missing = this.acknowledged.filter(p => !candidate.hasReceived(p)).map(p => `${p.term}.${p.index}`)
     if (missing.length > 0) this.lost.push(`${name} lacks ${missing.length > 6 ? `${missing.length} commits, ${missing[0]!} to ${missing.at(-1)!}` : missing.join(', ')}`)
     const term = Math.max(...[...this.endpoints.values()].map(e => e.term)) + 1
-    Object.assign(candidate, { role: 'primary', term, pausedForTerm: 0 })
+    Object.assign(candidate, { role: 'primary', term, isPaused: false, pausedForTerm: 0 })
     setTimeout(() => {
       for (const e of this.endpoints.values()) if (e.isRunning) e.demote(term)
     }, OLD_PRIMARY_DEMOTION_MS)
@@ -159,7 +170,7 @@
     const connection = {
       readStatus: async () => await run(() => {}),
       pause: async (term: number) => await run(e => e.pause(term)),
-      resume: async () => await run(e => { e.pausedForTerm = 0 }),
+      resume: async () => await run(e => e.resume()),
       demote: async (term: number) => await run(e => e.demote(term)),
       subscribeClose: () => {},
       close: () => {}
