Count demand toward a share only once every VM uses it

What callers saw: with four gateways before the stand-ins and one client on each that sends without pause after a calm time, 160 to 167 operations in 5 s were admitted where 152 are allowed (rate 20, burst 20). Cause: each VM polls in rounds of its own and takes over a report at its next round, so the others use a count of this VM that is 0.5 to 1 s old, while it used its own count of one round ago. When demand rises from nothing on all VMs, each one's own count is ahead of the others', the shares add up to more than 1 (up to 2 to 3 for a round), and a larger share gives its part of the burst at once. The simulation missed it because all its VMs exchanged and updated at the same instant. Ruled out: overdraft (at most 2 operations a VM), refill of the buckets, reads sent twice. Change: a VM's own demand counts as the smallest of its latest count and its last two reports to each other VM; the other VM uses one of these two. A restarted VM takes the others' demand from the record until they report, and without any report its share is at most an equal part. Demand beyond the limit does not raise a share, so shares settle while a flood grows. After the first window the shares add up to at most 1, which the test asserts. What the shares no longer exceed goes into the headroom of the bursts (0.7 of the slack and 0.35 of the overshoot instead of 0.5 and 0.1; unchanged where few VMs count).

--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -56,7 +56,7 @@
   createHandlers (): Pick<FleetOptions, 'createReport' | 'createPoll' | 'applyReport' | 'handleMessage' | 'handleRound' | 'removeVm'> {
     const { quotas, quotaRecord, groups } = this.#options
     return {
-      createReport: poll => this.#createReport(poll),
+      createReport: (vm, poll) => this.#createReport(vm, poll),
       createPoll: sequence => this.#createPoll(sequence),
       applyReport: (vm, report, pollSentAtMs) => this.#applyReport(vm, report, pollSentAtMs),
       handleMessage: (vm, message) => this.#handleMessage(vm, message),
@@ -83,14 +83,14 @@
     return { type: 'poll', sequence, vm: sequence <= INTRODUCTORY_POLL_COUNT ? self : undefined, vmsKnown: members.members.size + 1 }
   }
 
-  #createReport (poll: Poll): Report {
+  #createReport (vm: string, poll: Poll): Report {
     const { clock, configuration, groups, quotas, members } = this.#options
     const nowMs = clock.readNow()
     const report: Report = {
       type: 'report',
       sequence: poll.sequence,
       groups: groups.list().map(g => createGroupReport(g, nowMs)).filter(g => g !== undefined).map(encodeGroupReport),
-      demand: quotas.listDemand(),
+      demand: quotas.createDemandReport(vm),
       configurationVersion: configuration.version
     }
     const recentlyResponsive = listRecentlyResponsive(members, nowMs)
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -32,8 +32,8 @@
   store: MetadataStore
   clock: Clock
   logger: Logger
-  /** Creates the response to another VM's poll. */
-  createReport: (poll: Poll) => Report
+  /** Creates the response to a poll of `vm`. */
+  createReport: (vm: string, poll: Poll) => Report
   createPoll: (sequence: number) => Poll
   /** Applies the report with which `vm` answered a poll that was sent at `pollSentAtMs`. */
   applyReport: (vm: string, report: Report, pollSentAtMs: number) => void
@@ -144,7 +144,7 @@
     const message = parsed.data
     if (message.type === 'poll') {
       if (message.vm !== undefined) this.#addEntry(message.vm)
-      network.send(from.vm, FLEET_SLICE, createReport(message))
+      network.send(from.vm, FLEET_SLICE, createReport(from.vm, message))
     } else if (message.type === 'report') this.#receiveReport(from.vm, message)
     else if (message.type === 'left') this.#handleLeft(from.vm, message.incarnation)
     else handleMessage(from.vm, message)
--- a/packages/gateway/src/limits/permit-requests.test.ts
+++ b/packages/gateway/src/limits/permit-requests.test.ts
@@ -75,7 +75,7 @@
 
   update (): void {
     for (const { quotas } of this.vms.values()) quotas.update()
-    for (const [vm, one] of this.vms) for (const [name, other] of this.vms) if (vm !== name) one.quotas.recordVmDemand(name, other.quotas.listDemand())
+    for (const [vm, one] of this.vms) for (const [name, other] of this.vms) if (vm !== name) one.quotas.recordVmDemand(name, other.quotas.createDemandReport(vm))
   }
 }
 
--- a/packages/gateway/src/limits/quota-counter.ts
+++ b/packages/gateway/src/limits/quota-counter.ts
@@ -4,7 +4,7 @@
 import type { GatewaySettings } from '../settings.ts'
 import type { Permit, Permitted } from '../fleet/message-schemas.ts'
 import { MAX_VMS_ALL_COUNTING, type CountingVms } from './counting-vms.ts'
-import { estimateDemand, createDemandShares, createLargeFleetDemand, createFleetDemand, recordVmDemand, sweepDemand, updateLocalDemand } from './demand-shares.ts'
+import { createDemandReport, createDemandShares, createFleetDemand, createLargeFleetDemand, estimateDemand, recordVmDemand, removeVmDemand, sweepDemand, updateLocalDemand } from './demand-shares.ts'
 import { createDemandWindow, recordDemand, sumDemand } from './demand-window.ts'
 import { admitOperation, applyNearLimitBeforeStart, countOperation, createQuotaState, hasReserve, updateQuotas, type FleetDemand, type QuotaVerdict } from './quota.ts'
 
@@ -72,9 +72,9 @@
     return verdict.isAdmitted ? { type: 'permitted', request, result: 'admitted', isCalm } : { type: 'permitted', request, result: 'refused', retryAfterMs: verdict.retryAfterMs, isCalm }
   }
 
-  /** Lists this VM's demand by workspace, as it is reported to the other VMs. */
-  listDemand (): Array<[string, number]> {
-    return [...this.#demandShares.local]
+  /** Lists this VM's demand by workspace for a report to another VM. */
+  createDemandReport (vm: string): Array<[string, number]> {
+    return [...createDemandReport(this.#demandShares, vm, this.#options.clock.readNow())]
   }
 
   /** Stores another VM's demand report. */
@@ -84,7 +84,7 @@
 
   /** Removes the demand of a VM that has left the fleet, so that its shares of the limits go to the other VMs. */
   removeVm (vm: string): void {
-    this.#demandShares.others.delete(vm)
+    removeVmDemand(this.#demandShares, vm)
   }
 
   /** Recomputes this VM's shares from the current limits and the demand of the last window. Called after each round of polls, and for a new configuration. */
@@ -105,9 +105,9 @@
   listUsage (): Array<{ workspace: string, demand: number, allowed: number, share: number }> {
     const { configuration, settings } = this.#options
     const fleet = this.#describeFleet(true)
-    return (configuration.current?.workspaces ?? []).flatMap(({ name, ratePerSecond }) => ratePerSecond === undefined
+    return (configuration.current?.workspaces ?? []).flatMap(({ name, ratePerSecond, burst = 0 }) => ratePerSecond === undefined
       ? []
-      : [{ workspace: name, demand: fleet.readTotal(name), allowed: ratePerSecond * settings.quota.windowS, share: fleet.readShare(name) }])
+      : [{ workspace: name, demand: fleet.readTotal(name), allowed: ratePerSecond * settings.quota.windowS, share: fleet.readShare(name, ratePerSecond * settings.quota.windowS + burst) }])
   }
 
   #describeFleet (hasAllReports: boolean): FleetDemand {
@@ -137,7 +137,7 @@
 
   /** Lists the demand of the last window by VM, as pairs of workspace and operations. */
   listAllDemand (): Record<string, Array<[string, number]>> {
-    const demandByVm: Record<string, Array<[string, number]>> = { [this.#options.settings.vm]: this.listDemand() }
+    const demandByVm: Record<string, Array<[string, number]>> = { [this.#options.settings.vm]: [...this.#demandShares.local] }
     for (const [vm, { demand }] of this.#demandShares.others) demandByVm[vm] = [...demand]
     return demandByVm
   }
@@ -146,12 +146,15 @@
    * Applies the record that was written before this process started.
    *
    * @param nearLimit workspaces that were near their limit
-   * @param demand this VM's demand at that time, if recorded
+   * @param demandByVm demand at that time by VM; that of the other VMs counts until their first reports, for a window at most
    */
-  applyRecord (nearLimit: readonly string[], demand: ReadonlyArray<[string, number]> | undefined): void {
+  applyRecord (nearLimit: readonly string[], demandByVm: Record<string, ReadonlyArray<[string, number]>>): void {
+    const { settings, clock } = this.#options
     applyNearLimitBeforeStart(this.#state, nearLimit)
-    if (demand !== undefined) this.#demandShares.beforeStart = new Map(demand)
+    for (const [vm, demand] of Object.entries(demandByVm)) {
+      if (vm === settings.vm) this.#demandShares.beforeStart = new Map(demand)
+      else if (!this.#demandShares.others.has(vm)) recordVmDemand(this.#demandShares, vm, new Map(demand), clock.readNow(), this.#state.tolerance.windowMs)
+    }
     this.update()
-    this.update() // The first update publishes the recorded demand, the second computes the shares from it.
   }
 }
--- a/packages/gateway/src/limits/quota-record.ts
+++ b/packages/gateway/src/limits/quota-record.ts
@@ -61,7 +61,7 @@
   }
 
   async #read (attemptsLeft: number): Promise<void> {
-    const { store, logger, quotas, members } = this.#options
+    const { store, logger, quotas } = this.#options
     try {
       const storedObject = await store.find('quotas', OBJECT_NAME)
       const record = recordSchema.safeParse(storedObject?.value)
@@ -69,7 +69,7 @@
       if (!record.success) return
       const { pressed, demand } = record.data
       logger.info('quota record read', { pressed })
-      quotas.applyRecord(pressed, demand[members.self.vm])
+      quotas.applyRecord(pressed, demand)
     } catch (error) {
       if (attemptsLeft <= 1) throw error
       await new Promise(resolve => setTimeout(resolve, READ_RETRY_DELAY_MS))
--- a/packages/gateway/src/limits/quota.test.ts
+++ b/packages/gateway/src/limits/quota.test.ts
@@ -1,21 +1,39 @@
 import { createSeededRandom } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import type { Workspace } from '../configuration/configuration.ts'
-import { estimateDemand, createDemandShares, createFleetDemand, recordVmDemand, updateLocalDemand } from './demand-shares.ts'
+import { createDemandReport, createDemandShares, createFleetDemand, estimateDemand, recordVmDemand, updateLocalDemand } from './demand-shares.ts'
 import { createDemandWindow, recordDemand, sumDemand } from './demand-window.ts'
 import { admitOperation, applyNearLimitBeforeStart, computeQuotaShare, createQuotaState, updateQuotas, type FleetDemand } from './quota.ts'
 
 const tolerance = { windowMs: 5_000, overshoot: 0.1, slack: 20 }
 const ROUND_MS = 500
 
+/** A VM that other VMs have not heard for this long counts as unresponsive. */
+const UNRESPONSIVE_AFTER_MS = 1_500
+const STARTUP_ROUND_MS = 150
+const STARTUP_ROUND_COUNT = 8
+/** Resolution of the simulated time, and the time that a message takes from one VM to another. */
+const STEP_MS = 5
+
 interface FakeVm {
   window: ReturnType<typeof createDemandWindow>
   shares: ReturnType<typeof createDemandShares>
   state: ReturnType<typeof createQuotaState>
+  nextRoundAtMs: number
+  roundCount: number
+  /** When the last report of each other VM arrived. */
+  reportedAtMs: Map<number, number>
 }
 
-function createVm (isFirstStart: boolean, nowMs = 0): FakeVm {
-  return { window: createDemandWindow(tolerance.windowMs), shares: createDemandShares(), state: createQuotaState(tolerance, isFirstStart, nowMs) }
+function createVm ({ isFirstStart, nowMs = 0, firstRoundAfterMs }: { isFirstStart: boolean, nowMs?: number, firstRoundAfterMs: number }): FakeVm {
+  return {
+    window: createDemandWindow(tolerance.windowMs),
+    shares: createDemandShares(),
+    state: createQuotaState(tolerance, isFirstStart, nowMs),
+    nextRoundAtMs: nowMs + firstRoundAfterMs,
+    roundCount: 0,
+    reportedAtMs: new Map()
+  }
 }
 
 interface Load {
@@ -34,54 +52,116 @@
   durationMs: number
 }
 
-/** Simulates a load on a fleet whose VMs exchange their demand every half second. */
-function simulateLoad (load: Load, seed: number): { admitted: number[], requested: number } {
-  const random = createSeededRandom(seed)
-  let vms = Array.from({ length: load.vms }, () => createVm(true))
-  const admitted: number[] = []
-  let requested = 0
-  let isRestarted = false
-  for (let nowMs = 0; nowMs < load.durationMs; nowMs += 5) {
-    if (load.restartAtMs !== undefined && nowMs >= load.restartAtMs && !isRestarted) {
-      isRestarted = true
-      const pressed = vms[0]!.state.pressed
-      const before = vms.map(vm => vm.shares.local)
-      vms = vms.map(() => createVm(false, nowMs))
-      if (load.restoresRecord === true) {
-        vms.forEach((vm, i) => {
-          applyNearLimitBeforeStart(vm.state, pressed)
-          vm.shares.beforeStart = before[i]!
-        })
+/** A fleet whose VMs poll each other for their demand in rounds that begin at different times. */
+class FakeFleet {
+  vms: FakeVm[]
+  readonly #load: Load
+  readonly #random: () => number
+  readonly #messages = new Map<number, Array<() => void>>()
+
+  constructor (load: Load, random: () => number) {
+    this.#load = load
+    this.#random = random
+    this.vms = Array.from({ length: load.vms }, () => createVm({ isFirstStart: true, firstRoundAfterMs: this.#drawFirstRound() }))
+    for (const vm of this.vms) this.#updateVm(vm, 0)
+  }
+
+  #drawFirstRound (): number {
+    return Math.ceil(this.#random() * ROUND_MS / STEP_MS) * STEP_MS
+  }
+
+  restart (nowMs: number): void {
+    const pressed = this.vms[0]!.state.pressed
+    const before = this.vms.map(vm => vm.shares.local)
+    this.vms = this.vms.map(() => createVm({ isFirstStart: false, nowMs, firstRoundAfterMs: this.#drawFirstRound() }))
+    this.vms.forEach((vm, i) => {
+      if (this.#load.restoresRecord === true) {
+        applyNearLimitBeforeStart(vm.state, pressed)
+        vm.shares.beforeStart = before[i]!
+        before.forEach((demand, j) => { if (j !== i) recordVmDemand(vm.shares, String(j), demand, nowMs) })
       }
-    }
-    if (nowMs % ROUND_MS === 0) exchangeDemand(vms, load, nowMs)
-    load.parts(nowMs).forEach((fraction, i) => {
-      const vm = vms[i]!
-      if (random() >= load.readRatePerSecond(nowMs) * fraction * 0.005) return
-      requested++
-      recordDemand(vm.window, load.workspace.name, nowMs)
-      if (admitOperation(vm.state, load.workspace.name, nowMs).isAdmitted) admitted.push(nowMs)
+      this.#updateVm(vm, nowMs)
     })
   }
-  return { admitted, requested }
-}
 
-function exchangeDemand (vms: FakeVm[], load: Load, nowMs: number): void {
-  const { workspace, isPartitioned = () => false } = load
-  const partitioned = vms.map((_vm, i) => isPartitioned(i, nowMs))
-  vms.forEach((vm, i) => {
-    vms.forEach((other, j) => {
-      if (i !== j && !partitioned[i] && !partitioned[j]) recordVmDemand(vm.shares, String(j), other.shares.local, nowMs)
+  /** Delivers the messages that are due, and starts the rounds that are due. */
+  advance (nowMs: number): void {
+    for (const deliver of this.#messages.get(nowMs) ?? []) deliver()
+    this.#messages.delete(nowMs)
+    for (const [i, vm] of this.vms.entries()) {
+      if (nowMs < vm.nextRoundAtMs) continue
+      vm.nextRoundAtMs = nowMs + (vm.roundCount++ < STARTUP_ROUND_COUNT ? STARTUP_ROUND_MS : ROUND_MS)
+      for (let j = 0; j < this.vms.length; j++) if (j !== i) this.#poll(i, j, nowMs)
+      this.#updateVm(vm, nowMs)
+    }
+  }
+
+  /** Sums the rates that the VMs enforce, in operations per second. */
+  sumRates (): number {
+    return this.vms.reduce((sum, { state }) => sum + (state.buckets.get(this.#load.workspace.name)?.rate ?? 0), 0) * 1_000
+  }
+
+  #poll (from: number, to: number, nowMs: number): void {
+    const polling = this.vms[from]!
+    const { isPartitioned = () => false } = this.#load
+    if (isPartitioned(from, nowMs) || isPartitioned(to, nowMs)) return
+    this.#send(nowMs, () => {
+      const demand = createDemandReport(this.vms[to]!.shares, String(from), nowMs)
+      this.#send(nowMs + STEP_MS, () => {
+        recordVmDemand(polling.shares, String(to), demand, nowMs)
+        polling.reportedAtMs.set(to, nowMs)
+      })
     })
-  })
-  vms.forEach((vm, i) => {
-    const hasAllReports = !partitioned.some(Boolean)
+  }
+
+  #send (nowMs: number, deliver: () => void): void {
+    const messages = this.#messages.get(nowMs + STEP_MS) ?? []
+    messages.push(deliver)
+    this.#messages.set(nowMs + STEP_MS, messages)
+  }
+
+  #updateVm (vm: FakeVm, nowMs: number): void {
+    const { vms, workspace, hasEqualShares } = this.#load
+    const hasAllReports = vm.reportedAtMs.size === vms - 1 && [...vm.reportedAtMs.values()].every(t => nowMs - t < UNRESPONSIVE_AFTER_MS)
     const missingFraction = vm.state.isFirstStart ? 0 : 1 - (nowMs - vm.state.startedAtMs) / tolerance.windowMs
     updateLocalDemand(vm.shares, estimateDemand(vm.shares, sumDemand(vm.window, nowMs), missingFraction), hasAllReports || missingFraction > 0)
-    const fleet = createFleetDemand(vm.shares, vms.length, hasAllReports)
-    const equalShares = { ...fleet, hasAllReports: false, readShare: () => 1 / vms.length }
-    updateQuotas(vm.state, [workspace], load.hasEqualShares === true ? equalShares : fleet, nowMs)
-  })
+    const fleet = createFleetDemand(vm.shares, vms, hasAllReports)
+    const equalShares = { ...fleet, hasAllReports: false, readShare: () => 1 / vms }
+    updateQuotas(vm.state, [workspace], hasEqualShares === true ? equalShares : fleet, nowMs)
+  }
+}
+
+interface SimulationResult {
+  /** When each operation was admitted. */
+  admitted: number[]
+  requested: number
+  /** Largest sum of the rates that the VMs enforced at one time after the first window, as a fraction of the limit. */
+  largestRateSum: number
+}
+
+/** Simulates a load on a fleet. */
+function simulateLoad (load: Load, seed: number): SimulationResult {
+  const random = createSeededRandom(seed)
+  const fleet = new FakeFleet(load, random)
+  const admitted: number[] = []
+  let requested = 0
+  let largestRateSum = 0
+  for (let nowMs = 0; nowMs < load.durationMs; nowMs += STEP_MS) {
+    if (nowMs === load.restartAtMs) fleet.restart(nowMs)
+    fleet.advance(nowMs)
+    if (nowMs >= tolerance.windowMs) largestRateSum = Math.max(largestRateSum, fleet.sumRates() / load.workspace.ratePerSecond!)
+    load.parts(nowMs).forEach((fraction, i) => {
+      const vm = fleet.vms[i]!
+      const expectedCount = load.readRatePerSecond(nowMs) * fraction * STEP_MS / 1_000
+      const count = Math.floor(expectedCount + random())
+      requested += count
+      for (let n = 0; n < count; n++) {
+        recordDemand(vm.window, load.workspace.name, nowMs)
+        if (admitOperation(vm.state, load.workspace.name, nowMs).isAdmitted) admitted.push(nowMs)
+      }
+    })
+  }
+  return { admitted, requested, largestRateSum }
 }
 
 const singleVmDemand: FleetDemand = { vms: 1, hasAllReports: true, isCountedByFewVms: false, readShare: () => 1, readTotal: () => Infinity }
@@ -131,6 +211,21 @@
     })
   }
 
+  const pressedLimits = [{ ratePerSecond: 20, burst: 20 }, { ratePerSecond: 5, burst: 5 }, { ratePerSecond: 10, burst: 60 }, { ratePerSecond: 60, burst: 0 }, { ratePerSecond: 80, burst: 80 }]
+  for (const vms of [2, 3, 4, 9]) {
+    it(`holds in every window when a calm workspace is pressed without pause on all of ${vms} VMs whose rounds begin at different times, with 50 seeds`, () => {
+      for (const limit of pressedLimits) {
+        const pressed: Workspace = { name: 'pressed', keys: [], ...limit }
+        for (let seed = 1; seed <= 50; seed++) {
+          const readRatePerSecond = (nowMs: number): number => nowMs < 8_000 ? limit.ratePerSecond / 4 : 400 * vms
+          const { admitted, largestRateSum } = simulateLoad({ vms, workspace: pressed, readRatePerSecond, parts: () => Array(vms).fill(1 / vms), durationMs: 15_000 }, seed)
+          expect(countBusiestWindow(admitted), `rate ${limit.ratePerSecond}, burst ${limit.burst}, seed ${seed}`).to.be.at.most(computeMaxPerWindow(pressed))
+          expect(largestRateSum, 'rates').to.be.at.most(1 + 1e-9)
+        }
+      }
+    })
+  }
+
   it('admits nearly all operations of a workspace that stays within its rate', () => {
     const { admitted, requested } = simulateLoad({ vms: 8, workspace, readRatePerSecond: () => 30, parts: () => unevenFractions, durationMs: 30_000 }, 4)
     expect(admitted.length / requested).to.be.greaterThan(0.99)
--- a/packages/gateway/src/limits/quota.ts
+++ b/packages/gateway/src/limits/quota.ts
@@ -3,12 +3,13 @@
 
 /** Operations per window that are added to each VM's demand when shares are computed, since a small count predicts the next window badly. */
 const PRIOR_OPERATIONS = 1
-/** Fraction of the tolerated slack that the VMs together add to their bursts, so that a few operations need not arrive evenly. */
-const SLACK_HEADROOM_FRACTION = 0.5
-/** Fraction of the tolerated overshoot that the VMs together add to their bursts. The overshoot must also cover shares that do not add up to 1 while demand moves. */
-const OVERSHOOT_HEADROOM_FRACTION = 0.1
-/** Fraction of the burst headroom that is used if only a few VMs count a limit: their shares are large, and the other VMs may admit some operations uncounted. */
-const FEW_VMS_HEADROOM_FRACTION = 0.6
+/**
+ * Fractions of the tolerated slack and overshoot that the VMs together add to their bursts, so that a few operations need not
+ * arrive evenly. The rest covers the overdraft, and bursts that are used on one VM after the other while demand moves.
+ */
+const HEADROOM_FRACTIONS = { slack: 0.7, overshoot: 0.35 }
+/** The same if only a few VMs count a limit: their shares are large, and the other VMs may admit some operations uncounted. */
+const FEW_VMS_HEADROOM_FRACTIONS = { slack: 0.3, overshoot: 0.06 }
 /** Fraction of the allowed excess that restarted VMs may use at once, as they do not know what was used before. */
 const RESTART_EXCESS_FRACTION = 0.1
 /** A workspace is near its limit if its demand reaches this fraction of its rate. */
@@ -42,8 +43,8 @@
   hasAllReports: boolean
   /** Whether only a few VMs count each limit; other VMs may take over from them when members change. */
   isCountedByFewVms: boolean
-  /** This VM's share of a workspace's limit, as a fraction; 0 if it does not count the limit. */
-  readShare: (workspace: string) => number
+  /** This VM's share of a workspace's limit, as a fraction; 0 if it does not count the limit. `limitPerWindow` is the limit in operations. */
+  readShare: (workspace: string, limitPerWindow: number) => number
   /** Operations of a workspace that were requested from all VMs in the last window. */
   readTotal: (workspace: string) => number
 }
@@ -110,8 +111,8 @@
 function updateQuota (state: QuotaState, { name, ratePerSecond, burst = 0 }: Workspace, fleet: FleetDemand, nowMs: number): void {
   if (ratePerSecond === undefined) return removeQuota(state, name)
   const { windowMs, overshoot, slack } = state.tolerance
-  const share = fleet.readShare(name)
   const ratePerWindow = ratePerSecond * windowMs / MS_PER_SECOND
+  const share = fleet.readShare(name, ratePerWindow + burst)
   const allowedExcess = (ratePerWindow + burst) * overshoot + slack
   const rate = Math.max(MIN_RATE_PER_MS, ratePerSecond * share / MS_PER_SECOND)
   const localBurst = ratePerSecond + burst === 0 ? 0 : Math.max(1, burst * share + computeBurstHeadroom(state.tolerance, ratePerWindow + burst, fleet))
@@ -127,8 +128,8 @@
 
 /** Computes how many operations this VM's bucket holds beyond its share of the burst. */
 function computeBurstHeadroom ({ overshoot, slack }: QuotaTolerance, limitPerWindow: number, { vms, isCountedByFewVms }: FleetDemand): number {
-  const totalHeadroom = SLACK_HEADROOM_FRACTION * slack + OVERSHOOT_HEADROOM_FRACTION * limitPerWindow * overshoot
-  return (isCountedByFewVms ? FEW_VMS_HEADROOM_FRACTION * totalHeadroom : totalHeadroom) / vms
+  const fractions = isCountedByFewVms ? FEW_VMS_HEADROOM_FRACTIONS : HEADROOM_FRACTIONS
+  return (fractions.slack * slack + fractions.overshoot * limitPerWindow * overshoot) / vms
 }
 
 /** Computes how many operations a new bucket holds, depending on how much of the limit may have been used before. */
