--- a/packages/load/src/fleet/loopback-link.ts
+++ b/packages/load/src/fleet/loopback-link.ts
@@ -11,6 +11,11 @@
   host: string
   /** Port of the server to which the link forwards. */
   port: number
+  /**
+   * Called when the server resets a connection, as it does when it closes one with data that it has not read, with the port
+   * of the client's end.
+   */
+  onServerReset?: (clientPort: number) => void
 }
 
 interface SocketPair { client: Socket, server: Socket }
@@ -30,7 +35,7 @@
 
   constructor (options: LoopbackLinkOptions) {
     this.#options = options
-    this.#server = createServer(client => this.#accept(client))
+    this.#server = createServer({ allowHalfOpen: true }, client => this.#accept(client))
   }
 
   /** Port to which clients connect; 0 before the start. */
@@ -79,8 +84,10 @@
       client.resetAndDestroy()
       return
     }
-    const server = connect(this.#options.port, this.#options.host)
+    const server = connect({ port: this.#options.port, host: this.#options.host, allowHalfOpen: true })
     const pair = { client, server }
+    const clientPort = client.remotePort ?? 0
+    server.on('error', () => this.#options.onServerReset?.(clientPort))
     this.#pairs.add(pair)
     this.#forward(client, server, 'silentToServer', pair)
     this.#forward(server, client, 'silentToClient', pair)
@@ -89,16 +96,26 @@
   #forward (from: Socket, to: Socket, silentMode: LinkMode, pair: SocketPair): void {
     from.setNoDelay(true)
     const isSilent = (): boolean => this.mode === 'silent' || this.mode === silentMode
+    let lastDueAtMs = 0
+    // Keeps the order when the delay decreases.
+    const forwardLater = (forward: () => void): void => {
+      lastDueAtMs = Math.max(lastDueAtMs, performance.now() + this.delayMs)
+      const waitMs = lastDueAtMs - performance.now()
+      if (waitMs <= 0) forward()
+      else setTimeout(forward, waitMs)
+    }
     from.on('data', chunk => {
-      if (isSilent()) return
-      if (this.delayMs === 0) to.write(chunk)
-      else setTimeout(() => { if (!to.destroyed) to.write(chunk) }, this.delayMs)
+      if (!isSilent()) forwardLater(() => { if (!to.destroyed) to.write(chunk) })
+    })
+    from.on('end', () => {
+      if (!isSilent()) forwardLater(() => to.end())
+    })
+    from.on('error', () => {
+      if (!isSilent()) forwardLater(() => to.resetAndDestroy())
     })
-    // When one side closes or fails, the other is closed too; the error itself is of no use.
-    from.on('error', () => to.destroy())
     from.on('close', () => {
-      this.#pairs.delete(pair)
-      if (!isSilent()) setTimeout(() => to.destroy(), this.delayMs)
+      if (to.destroyed) this.#pairs.delete(pair)
+      if (!isSilent() && !from.readableEnded) forwardLater(() => to.destroy())
     })
   }
 }
