Don't wait for claims that a store may have lost if every VM denies that it acts on one

A VM now asks all VMs that may be running whether they act on a claim. The question names the epoch, so a VM that answers acts on no claim of an earlier one. A VM that started less than four seconds ago denies nothing, and a VM that did not see the change of the epoch itself does not ask.

Within an epoch nothing is asked.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -8,6 +8,7 @@
 import { drainSessions, finishSessions } from './drain/drain.ts'
 import { runStopSteps } from './drain/stop-steps.ts'
 import { ControlConnections } from './failover/control-connections.ts'
+import { ClaimInquiries } from './failover/claim-inquiries.ts'
 import { DutyClaims } from './failover/duty-claim.ts'
 import { FailoverWatch } from './failover/failover-watch.ts'
 import { LeadershipVerifier } from './failover/verify-leadership.ts'
@@ -153,13 +154,14 @@
   const network = createNetwork(self, members, logger)
   const fleetMessageHandler = new FleetMessageHandler({ clock, logger, self, configuration, groups, quotas, members, quotaRecord })
   const fleet = new Fleet({ state: members, network, store, clock, logger, ...fleetMessageHandler.createHandlers() })
-  const claims = new DutyClaims({ store, clock, logger, vm: settings.vm, incarnation })
+  const claimInquiries: ClaimInquiries = new ClaimInquiries({ store, clock, members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => fleet.send(vm, message) })
+  const claims: DutyClaims = new DutyClaims({ store, clock, logger, vm: settings.vm, incarnation, confirmNoClaims: async (service, epoch) => await claimInquiries.confirmNoClaims(service, epoch) })
   const host = { clock, logger, vm: settings.vm, control: controlConnections, claims, promoter, ...fleetMessageHandler.createPromotionCallbacks() }
   const recordResult = (service: string, result: string): void => metrics.promotions.inc({ service, result })
   const failover = new FailoverWatch({ clock, logger, members, host, listGroups: () => groups.list(), poll: () => fleet.poll(), recordResult })
   const permits = new PermitClient({ clock, logger, windowMs: settings.quota.windowS * MS_PER_SECOND, counting, quotas, send: (vm, message) => fleet.send(vm, message) })
   network.subscribeLinkLoss(vm => permits.handleLinkLoss(vm))
-  fleetMessageHandler.connect(fleet, failover, permits)
+  fleetMessageHandler.connect(fleet, failover, permits, claimInquiries)
   return { settings, adapters, logger, clock, metrics, configuration, directory, members, groups, quotas, permits, quotaRecord, leadershipVerifier, network, fleet, failover }
 }
 
--- a/packages/gateway/src/failover/duty-claim.test.ts
+++ b/packages/gateway/src/failover/duty-claim.test.ts
@@ -2,12 +2,12 @@
 import { expect } from 'chai'
 import { MemoryStore, MemoryStoreState, type StoreCopy } from '../testing/memory-store.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
-import { CLAIM_TAKEOVER_MS, CLAIM_VALID_MS, DutyClaims, type Claim } from './duty-claim.ts'
+import { CLAIM_TAKEOVER_MS, CLAIM_VALID_MS, DutyClaims, type Claim, type DutyClaimsOptions } from './duty-claim.ts'
 
 const logger = createLogger({ process: 'test', level: 'silent' })
 
-function createClaims (store: MemoryStore, clock: VirtualClock, vm: string): DutyClaims {
-  return new DutyClaims({ store, clock, logger, vm, incarnation: 1 })
+function createClaims (store: MemoryStore, clock: VirtualClock, vm: string, confirmNoClaims?: DutyClaimsOptions['confirmNoClaims']): DutyClaims {
+  return new DutyClaims({ store, clock, logger, vm, incarnation: 1, confirmNoClaims })
 }
 
 describe('claims on the failover duty', () => {
@@ -73,13 +73,22 @@
   })
 })
 
-/** VMs of a test, each with its own connection to the same store. */
-function createFleet (vms: string[], clock: VirtualClock): { state: MemoryStoreState, fleet: Array<{ store: MemoryStore, claims: DutyClaims }> } {
+interface FakeVm { store: MemoryStore, claims: DutyClaims }
+
+/** VMs of a test, each with its own connection to the same store. They ask each other about claims if `isReachable` is given. */
+function createFleet (vms: string[], clock: VirtualClock, isReachable?: () => boolean): { state: MemoryStoreState, fleet: FakeVm[] } {
   const state = new MemoryStoreState()
-  const fleet = vms.map(vm => {
+  const fleet: FakeVm[] = []
+  for (const vm of vms) {
     const store = new MemoryStore(state)
-    return { store, claims: createClaims(store, clock, vm) }
-  })
+    const confirmNoClaims = async (service: string, epoch: number): Promise<boolean> => fleet.every(({ store: otherStore, claims: otherClaims }) => {
+      if (otherStore === store) return true
+      if (isReachable?.() !== true) return false
+      if (epoch > otherStore.epochs.current) otherStore.epochs.accept(epoch)
+      return otherStore.epochs.current === epoch && !otherClaims.isHeld(service)
+    })
+    fleet.push({ store, claims: createClaims(store, clock, vm, isReachable === undefined ? undefined : confirmNoClaims) })
+  }
   return { state, fleet }
 }
 
@@ -169,6 +178,39 @@
     expect((await c!.claims.claim('orders'))!.fencingToken).to.be.greaterThan(second.fencingToken)
   })
 
+  it('are granted at once if every other VM denies that it acts on one', async () => {
+    const clock = new VirtualClock()
+    const { state, fleet: [a, b] } = createFleet(['a', 'b'], clock, () => true)
+    clock.nowMs = CLAIM_TAKEOVER_MS
+    await b!.store.list('vms')
+    const copy = state.createCopy()
+    const lost = (await a!.claims.claim('orders'))!
+    state.restore(copy)
+    await b!.store.list('vms')
+    expect(await b!.claims.claim('orders')).to.equal(null)
+    expect(a!.claims.isUsable(lost)).to.equal(false)
+    await a!.claims.release(lost)
+    expect((await b!.claims.claim('orders'))!.fencingToken).to.be.greaterThan(lost.fencingToken)
+  })
+
+  it('are not granted at once if another VM does not answer, or started so recently that an order from before may be on its way', async () => {
+    const clock = new VirtualClock()
+    let isReachable = true
+    const { state, fleet: [a, b] } = createFleet(['a', 'b'], clock, () => isReachable)
+    for (const { store } of [a!, b!]) await store.list('vms')
+    state.restore(state.createCopy())
+    await b!.store.list('vms')
+    clock.nowMs = CLAIM_TAKEOVER_MS - 1
+    expect(await b!.claims.claim('orders')).to.equal(null)
+    state.restore(state.createCopy())
+    await b!.store.list('vms')
+    clock.nowMs = CLAIM_TAKEOVER_MS
+    isReachable = false
+    expect(await b!.claims.claim('orders')).to.equal(null)
+    isReachable = true
+    expect(await b!.claims.claim('orders')).to.not.equal(null)
+  })
+
   it('are granted as usual once the wait after the return is over', async () => {
     const clock = new VirtualClock()
     const { state, fleet: [a, b] } = createFleet(['a', 'b'], clock)
@@ -243,7 +285,7 @@
 async function runModel (seed: number): Promise<UsedTokens> {
   const random = createSeededRandom(seed)
   const clock = new VirtualClock()
-  const { state, fleet } = createFleet(['a', 'b', 'c'], clock)
+  const { state, fleet } = createFleet(['a', 'b', 'c'], clock, () => random() < 0.7)
   const held: Array<Claim | null> = fleet.map(() => null)
   const copies: Array<{ copy: StoreCopy, atMs: number }> = []
   const used = new UsedTokens()
--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -36,6 +36,11 @@
   logger: Logger
   vm: string
   incarnation: number
+  /**
+   * Asks all VMs that may be running whether they act on a claim of the service. Resolves to whether each of them has answered
+   * that it doesn't, and that it knows the store's epoch. By default claims that the store may have lost are waited for.
+   */
+  confirmNoClaims?: (service: string, epoch: number) => Promise<boolean>
 }
 
 /** A revision of a claim's object, with the time since when this VM has seen it unchanged. */
@@ -49,16 +54,21 @@
  *
  * After such a return the object may be older than the last claim, or overwritten by a call of the epoch before that was
  * executed late. So an object that was not written in the store's epoch is treated like the claim of a VM that may still
- * act on it.
+ * act on it, unless every VM that may be running denies that.
  */
 export class DutyClaims {
   readonly #options: DutyClaimsOptions
   readonly #observed = new Map<string, ObservedClaim>()
+  /** The latest claim of each service that this VM has not released. */
+  readonly #held = new Map<string, Claim>()
   /** When the store's epoch last changed; earlier claims of objects that its copy lacks were made before. */
   #epochChange: { epoch: number, atMs: number } | undefined
 
+  readonly #startedAtMs: number
+
   constructor (options: DutyClaimsOptions) {
     this.#options = options
+    this.#startedAtMs = options.clock.readNow()
     options.store.epochs.subscribe(({ epoch }) => {
       this.#epochChange = { epoch, atMs: options.clock.readNow() }
       this.#recordClaims().catch((error: unknown) => options.logger.info('listing the failover claims failed', { reason: String(error) }))
@@ -73,7 +83,22 @@
    */
   async claim (service: string): Promise<Claim | null> {
     const current = await this.#options.store.find('duties', formatObjectName(service))
-    return this.#isFree(service, current) ? await this.#write(service, current) : null
+    return this.#isFree(service, current) || await this.#confirmUnclaimed(service, current) ? await this.#write(service, current) : null
+  }
+
+  /** Whether this VM may be acting on a claim of the service, or an order sent on the strength of one may still be on its way, also from before its start. */
+  isHeld (service: string): boolean {
+    const claimedAtMs = this.#held.get(service)?.claimedAtMs ?? this.#startedAtMs
+    return this.#options.clock.readNow() - claimedAtMs < CLAIM_TAKEOVER_MS
+  }
+
+  /** Asks the other VMs about a claim that the store may have lost. Only if this VM saw the epoch change: one that started later may not know all VMs. */
+  async #confirmUnclaimed (service: string, current: StoredObject<unknown> | undefined): Promise<boolean> {
+    const { store, confirmNoClaims } = this.#options
+    const epoch = store.epochs.current
+    const mayBeLost = current === undefined || !this.#isOfCurrentEpoch(current)
+    if (!mayBeLost || confirmNoClaims === undefined || this.#epochChange?.epoch !== epoch || this.isHeld(service)) return false
+    return await confirmNoClaims(service, epoch) && store.epochs.current === epoch
   }
 
   /** Whether this VM may still act on the claim. */
@@ -103,6 +128,7 @@
   /** Releases the claim, so that other VMs need not wait until they may take it over. Failures are only logged. */
   async release (claim: Claim): Promise<void> {
     const { store, logger, incarnation } = this.#options
+    this.#held.delete(claim.service)
     try {
       await store.write('duties', formatObjectName(claim.service), { holder: null, incarnation, epoch: claim.revision.epoch }, claim.revision)
     } catch (error) {
@@ -121,7 +147,9 @@
     try {
       const revision = await store.write('duties', formatObjectName(service), { holder: vm, incarnation, epoch: store.epochs.current }, current?.revision ?? null)
       this.#observed.delete(service)
-      return { service, fencingToken: computeFencingToken(revision), revision, claimedAtMs }
+      const claim = { service, fencingToken: computeFencingToken(revision), revision, claimedAtMs }
+      this.#held.set(service, claim)
+      return claim
     } catch (error) {
       if (error instanceof RevisionConflictError) return null
       throw error
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -1,5 +1,6 @@
 import type { Clock, Logger } from '@camphorpitch/wire'
 import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
+import type { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import type { FailoverWatch } from '../failover/failover-watch.ts'
 import type { PromotionHost, Revocation } from '../failover/run-promotion.ts'
 import { isLeadershipRevoked, recordLeadership, restoreLeadership, revokeLeadership } from '../freshness/group-state.ts'
@@ -13,7 +14,7 @@
 import { applyReportedVersion, createConfigurationFetch, resetConfigurationFetch } from './configuration-fetch.ts'
 import { applyGroupReport, createGroupReport } from './group-reports.ts'
 import { createMemberLosses, listRecentlyResponsive, listPossiblyRunning, updateMemberLosses, type MemberLosses, type MemberState } from './members.ts'
-import { decodeGroupReport, encodeGroupReport, type FleetMessage, type Report, type VmEntry } from './message-schemas.ts'
+import { decodeGroupReport, encodeGroupReport, type ClaimsReported, type ClaimsWanted, type FleetMessage, type Report, type VmEntry } from './message-schemas.ts'
 import { addConfirmation, RevocationCollector } from './revocations.ts'
 
 /** Number of polls after a start that carry the sender's VM entry, for VMs that do not know it yet. */
@@ -42,6 +43,7 @@
   #fleet: Fleet | undefined
   #failover: FailoverWatch | undefined
   #permits: PermitClient | undefined
+  #claimInquiries: ClaimInquiries | undefined
   #lastAttemptNumber = 0
 
   constructor (options: FleetMessageHandlerOptions) {
@@ -52,7 +54,8 @@
   }
 
   /** Sets the slices that messages are passed to; they are created after this handler. */
-  connect (fleet: Fleet, failover: FailoverWatch, permits: PermitClient): void {
+  connect (fleet: Fleet, failover: FailoverWatch, permits: PermitClient, claimInquiries?: ClaimInquiries): void {
+    this.#claimInquiries = claimInquiries
     this.#fleet = fleet
     this.#failover = failover
     this.#permits = permits
@@ -64,7 +67,10 @@
       createReport: poll => this.#createReport(poll),
       createPoll: sequence => this.#createPoll(sequence),
       applyReport: (vm, report, pollSentAtMs) => this.#applyReport(vm, report, pollSentAtMs),
-      handleMessage: (vm, message) => this.#handleMessage(vm, message),
+      handleMessage: (vm, message) => {
+        if (message.type === 'claimsWanted' || message.type === 'claimsReported') this.#claimInquiries?.handleMessage(vm, message)
+        else this.#handleMessage(vm, message)
+      },
       removeVm: vm => {
         quotas.removeVm(vm)
         for (const group of groups.list()) group.peers.delete(vm)
@@ -117,7 +123,7 @@
     quotas.recordVmDemand(vm, report.demand)
   }
 
-  #handleMessage (vm: string, message: FleetMessage): void {
+  #handleMessage (vm: string, message: Exclude<FleetMessage, ClaimsWanted | ClaimsReported>): void {
     if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null, endpoints: message.endpoints, departures: message.departures, lastCommitAgeMs: message.lastCommitAgeMs ?? Infinity, uptimeMs: message.uptimeMs })
     else if (message.type === 'promoted') this.#handlePromotionOutcome(vm, message)
     else if (message.type === 'permit') this.#fleet?.send(vm, this.#options.quotas.decidePermit(message))
--- a/packages/gateway/src/fleet/message-schemas.ts
+++ b/packages/gateway/src/fleet/message-schemas.ts
@@ -143,8 +143,26 @@
 })
 export type Permitted = z.infer<typeof permittedSchema>
 
+/** Asks whether the receiver may be acting on a claim of the failover duty, after the store has returned from an older copy. */
+export const claimsWantedSchema = z.object({
+  type: z.literal('claimsWanted'),
+  inquiry: z.number().int(),
+  service: z.string(),
+  /** The store's epoch that the sender knows. */
+  epoch: z.number().int().nonnegative()
+})
+export type ClaimsWanted = z.infer<typeof claimsWantedSchema>
+/** Response to `claimsWanted`. */
+export const claimsReportedSchema = z.object({
+  type: z.literal('claimsReported'),
+  inquiry: z.number().int(),
+  /** Whether the sender may be acting on a claim, or knows another epoch than it was asked about. */
+  isHeld: z.boolean()
+})
+export type ClaimsReported = z.infer<typeof claimsReportedSchema>
+
 /** A VM announces that it leaves the fleet, after it has served its last client. */
 export const leftSchema = z.object({ type: z.literal('left'), incarnation: z.number() })
 
-export const fleetMessageSchema = z.discriminatedUnion('type', [leftSchema, pollSchema, reportSchema, revokeSchema, revokedSchema, promotedSchema, permitSchema, permittedSchema, configurationWantedSchema, configurationOfferedSchema])
+export const fleetMessageSchema = z.discriminatedUnion('type', [leftSchema, pollSchema, reportSchema, revokeSchema, revokedSchema, promotedSchema, permitSchema, permittedSchema, configurationWantedSchema, configurationOfferedSchema, claimsWantedSchema, claimsReportedSchema])
 export type FleetMessage = z.infer<typeof fleetMessageSchema>
