--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -5,7 +5,8 @@
 import { ElapsedClock } from './clock/elapsed-clock.ts'
 import { ConfigurationHolder } from './configuration/configuration-holder.ts'
 import { applyChanges, applyListing, createDirectory, recordStoreRecovery, removeExpiredLapsedEntries, type DirectoryState } from './directory/directory.ts'
-import { drainSessions } from './drain/drain.ts'
+import { drainSessions, finishSessions } from './drain/drain.ts'
+import { runStopSteps } from './drain/stop-steps.ts'
 import { ControlConnections } from './failover/control-connections.ts'
 import { DutyClaims } from './failover/duty-claim.ts'
 import { FailoverWatch } from './failover/failover-watch.ts'
@@ -110,15 +111,24 @@
   return {
     metrics,
     isReady,
-    readStatus: () => createGatewayStatus({ ...components, isReady, countSessions: () => sessions.size }),
+    readStatus: () => createGatewayStatus({ ...components, store: adapters.store, isReady, countSessions: () => sessions.size }),
     drain: async () => {
       isDraining = true
-      await drainSessions({ clock, logger, graceMs: settings.graceS * 1_000, listSessions: () => [...sessions] })
+      const stop = { clock, logger, startedAtMs: clock.readNow(), graceMs: settings.graceS * MS_PER_SECOND, listSessions: () => [...sessions] }
+      await drainSessions(stop)
       clearInterval(maintenanceTimer)
       for (const w of watches) w.stop()
       failover.stop()
-      await Promise.all([fleet.stop(), adapters.listener.stop()])
-      await network.stop()
+      await runStopSteps(stop, {
+        'sessions ended': async () => {
+          await adapters.listener.stop()
+          await finishSessions(stop)
+        },
+        'fleet left': async () => await fleet.stop()
+      })
+      await runStopSteps(stop, { 'links closed': async () => await network.stop() })
+      for (const session of sessions) session.recordEnd('processExit')
+      logger.info('stopped', { sinceStopMs: Math.round(clock.readNow() - stop.startedAtMs) })
     }
   }
 }
@@ -159,8 +169,13 @@
   return new WsPeerNetwork({ self: hello, clock: new MonotonicClock(), logger, findAddress })
 }
 
-function startWatches ({ adapters: { store }, logger, clock, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
+function startWatches ({ adapters: { store }, logger, clock, metrics, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
   const handleStoreRecovery = (): void => recordStoreRecovery(directory, clock.readNow())
+  store.epochs.subscribe(change => {
+    logger.warn('metadata store returned from an older copy', { ...change, configurationVersion: configuration.version })
+    metrics.storeEpochChanges.inc()
+    handleStoreRecovery()
+  })
   const endpointsWatch = watchKind({
     store,
     logger,
@@ -175,8 +190,8 @@
     logger,
     kind: 'configuration',
     coalesceMs: CONFIGURATION_COALESCE_MS,
-    applyListing: ({ items }) => { for (const { value } of items) if (value !== null) configuration.apply(value, 'list') },
-    applyChanges: changes => { for (const { object } of changes) if (object.value !== null) configuration.apply(object.value, 'watch') }
+    applyListing: ({ items }) => { for (const { value, revision } of items) if (value !== null) configuration.apply(value, 'list', revision.epoch) },
+    applyChanges: changes => { for (const { object } of changes) if (object.value !== null) configuration.apply(object.value, 'watch', object.revision.epoch) }
   })
   return [endpointsWatch, configurationWatch]
 }
--- a/packages/gateway/src/clients/client-listener.ts
+++ b/packages/gateway/src/clients/client-listener.ts
@@ -11,6 +11,13 @@
   position?: { term: number, index: number } | null
 }
 
+/** Input of a client connection that is not yet a whole message. */
+export interface InputState {
+  incompleteBytes: number
+  /** Time since the last byte was received, in milliseconds; `null` before the first. */
+  sinceLastByteMs: number | null
+}
+
 /** The gateway's side of one client connection. */
 export abstract class ClientTransport {
   /** Tells the client that its session is accepted. */
@@ -18,7 +25,21 @@
   /** Refuses the session and closes the connection. */
   abstract sendRefusal (error: ResponseError): void
   abstract sendResponse (response: ClientResponse): void
+  /**
+   * Tells an idle client that its session ends. A client whose statement is on its way takes the notice for the error in
+   * response to that statement; `sendNoticeCompletion` completes the response.
+   */
+  abstract sendEndNotice (error: ResponseError): void
+  /** Completes the notice as the response to a statement that has crossed it. No transaction is open then. */
+  abstract sendNoticeCompletion (): void
+  /** Stops reading from the client until `resumeInput`. */
+  abstract pauseInput (): void
+  abstract resumeInput (): void
+  /** Ends the connection after all responses; the client's input is still read. */
   abstract close (): void
+  /** Ends the connection at once; responses that the client has not taken are lost. */
+  abstract destroy (): void
+  abstract readInputState (): InputState
 }
 
 /** Handlers for what a client does on its connection; they are called in the order of the events. */
@@ -28,6 +49,10 @@
   handleStatement: (statement: ClientStatement) => void
   /** Handles a message that could not be decoded. */
   handleMalformed: (reason: string) => void
+  /** Handles a message above the maximum size, after which no further message is read. */
+  handleTooLarge: () => void
+  /** Handles the client's message that ends the session. */
+  handleTerminate: () => void
   handleClose: () => void
 }
 
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -2,11 +2,12 @@
 import type { EndpointStatus } from '../backend/endpoint-connector.ts'
 import type { Promoter } from '../backend/promoter.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { LEADER_LEASE_MS } from '../freshness/group-state.ts'
+import { LEADER_LEASE_MS, type KnownPrimary } from '../freshness/group-state.ts'
+import { formatStart, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import type { ControlCommand, ControlConnections } from './control-connections.ts'
-import { pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
+import { MAX_UNFENCED_BESIDE_PRIMARY, pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
 import type { Claim, DutyClaims } from './duty-claim.ts'
 
 /** Time that the VMs have to confirm that they revoked the primary's leadership. */
@@ -21,13 +22,27 @@
 const PROMOTION_EFFECT_TIMEOUT_MS = 3_500
 const MAX_BUSY_ATTEMPTS = 4
 const RETRY_DELAY_MS = 25
+/** Attempts to renew an expired claim while the store does not respond. */
+const MAX_RENEWAL_ATTEMPTS = 10
+const RENEWAL_RETRY_DELAY_MS = 500
 
 /** Result of the request to all VMs to revoke the leadership of a primary. */
 export interface Revocation {
   /** Whether every VM that may be running has confirmed. */
   hasEveryVmConfirmed: boolean
+  /**
+   * Whether no acknowledged position can lie beyond `acknowledged`: every VM has confirmed, and a commit was sent and acknowledged
+   * after a VM last stopped or restarted and forgot what it knew.
+   */
+  hasEveryAcknowledgement: boolean
   /** Latest position that any of the VMs that confirmed knows to be acknowledged; `null` if none knows one. */
   acknowledged: LogPosition | null
+  /** Primary of the latest term that any of the VMs that confirmed knows; `null` if none knows one. */
+  latestPrimary: KnownPrimary | null
+  /** The group's endpoints that the other VMs know. */
+  endpoints: readonly EndpointStart[]
+  /** Endpoints that the other VMs have seen leave the group. */
+  departures: readonly ReportedDeparture[]
 }
 
 /** What a promotion needs from the VM that runs it. */
@@ -52,6 +67,8 @@
   group: ServiceGroup
   reason: PromotionReason
   claim: Claim
+  /** The primary that this VM knew when the attempt began. */
+  knownPrimary: KnownPrimary | null
   /** Term at which the endpoints are fenced; once the new primary is known, its term. */
   term: number
   oldPrimary: EndpointEntry | undefined
@@ -79,7 +96,8 @@
   }
   const entries = [...group.pools.values()].map(p => p.entry)
   const oldPrimary = entries.find(e => e.endpoint === group.state.primary?.endpoint)
-  const attempt: Attempt = { host, group, reason, claim, oldPrimary, replicas: entries.filter(e => e !== oldPrimary), leadershipVerifiedAtMs: -Infinity, term: (group.state.primary?.term ?? 0) + 1 }
+  const knownPrimary = group.state.primary === null ? null : { ...group.state.primary }
+  const attempt: Attempt = { host, group, reason, claim, knownPrimary, oldPrimary, replicas: entries.filter(e => e !== oldPrimary), leadershipVerifiedAtMs: -Infinity, term: (knownPrimary?.term ?? 0) + 1 }
   host.logger.warn('promotion started', { service: group.service, reason, oldPrimary: oldPrimary?.endpoint, term: attempt.term, fencingToken: claim.fencingToken })
   let promoted: string | null = null
   try {
@@ -97,38 +115,124 @@
   await updateTerm(attempt)
   const pendingRevocation = host.revoke(group, attempt.term, isPlanned, isPlanned ? PLANNED_REVOKE_TIMEOUT_MS : REVOKE_TIMEOUT_MS)
   if (isPlanned) await pendingRevocation
-  const fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
+  let fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
   const fencedAtMs = host.clock.readNow()
   const revocation = await pendingRevocation
-  if (!revocation.hasEveryVmConfirmed) await waitForLeases(attempt, fencedAtMs)
-  const unfencedReplicas = isPlanned ? 0 : attempt.replicas.length - fenced.filter(f => !f.isOldPrimary).length
-  const candidate = pickCandidate({ fenced, unfencedReplicas, ...revocation })
-  host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, fenced, unfencedReplicas, ...revocation })
+  ensureLatestPrimary(attempt, revocation.latestPrimary)
+  if (!revocation.hasEveryVmConfirmed) {
+    await waitForLeases(attempt, fencedAtMs)
+    fenced = await verifyFence(attempt, fenced)
+  }
+  const { departures, unknownReplicas } = mergeEndpoints(attempt, revocation)
+  const unfencedReplicas = fenced.unfencedReplicas + unknownReplicas.length
+  const candidate = pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas, departures })
+  host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: fenced.endpoints, unfencedReplicas, unknownReplicas, departures, acknowledged: revocation.acknowledged, hasEveryVmConfirmed: revocation.hasEveryVmConfirmed, hasEveryAcknowledgement: revocation.hasEveryAcknowledgement })
   if (candidate === undefined) return null
   return await requestPromotion(attempt, candidate.endpoint)
 }
 
-/** Sets a term that no replica has seen yet, in case the primary's term is unknown because the primary has not responded so far. */
+/** Sets a term that no endpoint has seen yet, in case the primary's term is unknown because the primary has not responded so far. */
 async function updateTerm (attempt: Attempt): Promise<void> {
   if (attempt.term > 1) return
-  const statuses = await runOnAll(attempt, attempt.replicas, async c => await c.readStatus())
+  const { oldPrimary, replicas } = attempt
+  const statuses = await runOnAll(attempt, oldPrimary === undefined ? replicas : [...replicas, oldPrimary], async c => await c.readStatus())
   attempt.term = Math.max(1, ...statuses.map(({ status }) => Math.max(status.term, status.pausedForTerm) + 1))
+  ensureNotReplaced(attempt, statuses)
+  if (statuses.some(({ entry, status }) => entry === oldPrimary && status.role === 'replica')) addOldPrimaryToReplicas(attempt)
+}
+
+/** Counts the endpoint that was taken for the primary among the replicas. */
+function addOldPrimaryToReplicas (attempt: Attempt): void {
+  if (attempt.oldPrimary !== undefined) attempt.replicas = [...attempt.replicas, attempt.oldPrimary]
+  attempt.oldPrimary = undefined
+}
+
+/**
+ * Checks that no endpoint has a newer term or follows a primary other than the one to be replaced: then another VM has
+ * replaced it, and fencing at the attempt's term has no effect. Records the primary that leads.
+ *
+ * @throws Error if there is one
+ */
+function ensureNotReplaced ({ group, term, knownPrimary, oldPrimary }: Attempt, statuses: readonly EndpointResult[]): void {
+  const leading = statuses.find(({ entry, status }) => status.role === 'primary' && status.term > (knownPrimary?.term ?? 0) && (entry !== oldPrimary || status.term >= term))
+  if (leading !== undefined) group.adoptPrimary(leading.entry.endpoint, leading.status.term, 'promotion attempt')
+  const newer = statuses.find(({ status }) => status.pausedForTerm > term || (status.term >= term && status.pausedForTerm < term))
+  if (leading === undefined && newer === undefined) return
+  if (leading === undefined && group.state.primary?.term === knownPrimary?.term) group.resetPrimary()
+  const { entry, status } = leading ?? newer!
+  throw new Error(`the primary to be replaced no longer leads: ${entry.endpoint} reports role ${status.role}, term ${status.term}, paused for term ${status.pausedForTerm}; this attempt has term ${term}`)
+}
+
+/**
+ * Checks that no VM knows a later primary than the one to be replaced, and records it otherwise.
+ *
+ * @throws Error if one does
+ */
+function ensureLatestPrimary ({ group, knownPrimary }: Attempt, latest: KnownPrimary | null): void {
+  if (latest === null || latest.endpoint === knownPrimary?.endpoint || latest.term <= (knownPrimary?.term ?? 0)) return
+  group.adoptPrimary(latest.endpoint, latest.term, 'promotion attempt')
+  throw new Error(`the primary to be replaced no longer leads: another VM knows ${latest.endpoint} as primary of term ${latest.term}`)
+}
+
+/**
+ * Lists the replicas that have left the group, and those that other VMs know and this one does not. Departures of the old primary do not
+ * count: its commits were received by a replica as well.
+ */
+function mergeEndpoints ({ group, knownPrimary }: Attempt, revocation: Revocation): { departures: ReportedDeparture[], unknownReplicas: EndpointStart[] } {
+  const present = new Set([...group.pools.values()].map(p => formatStart(p.entry)))
+  const departures = new Map(group.departures.map(({ endpoint, startedAtMs, logEnd }) => [formatStart({ endpoint, startedAtMs }), { endpoint, startedAtMs, logEnd }]))
+  for (const departure of revocation.departures) {
+    const key = formatStart(departure)
+    if (!present.has(key) && departures.get(key)?.logEnd == null) departures.set(key, departure)
+  }
+  const unknown = new Map(revocation.endpoints.map(e => [formatStart(e), e]))
+  const isReplica = ({ endpoint }: EndpointStart): boolean => endpoint !== knownPrimary?.endpoint
+  return {
+    departures: [...departures.values()].filter(isReplica),
+    unknownReplicas: [...unknown].filter(([key, e]) => !present.has(key) && !departures.has(key) && isReplica(e)).map(([, e]) => e)
+  }
+}
+
+/** The endpoints that receive nothing more from the old primary. */
+interface FencedGroup {
+  endpoints: FencedEndpoint[]
+  /** Number of replicas that may still receive from it or from a primary that is not known. */
+  unfencedReplicas: number
 }
 
 /**
  * Pauses the replicas, so that they receive nothing more from the old primary. If some can't be paused, the old primary counts
- * as well, if it has stepped down on request.
+ * as well, if it steps down on request.
  */
-async function fenceReplicas (attempt: Attempt): Promise<FencedEndpoint[]> {
-  const { host, oldPrimary, replicas, term } = attempt
-  const steppingDown = oldPrimary === undefined ? Promise.resolve([]) : runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
+async function fenceReplicas (attempt: Attempt): Promise<FencedGroup> {
+  const { host, replicas, term } = attempt
+  const pendingDemotion = demoteOldPrimary(attempt)
+  pendingDemotion.catch(() => {}) // Its result is needed only if a replica could not be paused.
   const paused = await runOnAll(attempt, replicas, async c => await c.pause(term))
+  ensureNotReplaced(attempt, paused)
   const isPaused = (s: EndpointStatus): boolean => s.role === 'replica' && s.pausedForTerm >= term
-  const fenced = paused.filter(({ status }) => isPaused(status)).map(({ entry, status }) => describeFenced(entry, status, false))
-  if (fenced.length === replicas.length) return fenced
+  const endpoints = paused.filter(({ status }) => isPaused(status)).map(({ entry, status }) => describeFenced(entry, status, false))
+  const unfencedReplicas = replicas.length - endpoints.length
+  if (unfencedReplicas === 0) return { endpoints, unfencedReplicas }
   host.logger.info('not all replicas fenced', { service: attempt.group.service, term, responses: paused.map(p => ({ endpoint: p.entry.endpoint, ...p.status })) })
-  const steppedDown = await steppingDown
-  return [...fenced, ...steppedDown.filter(({ status }) => status.role === 'replica').map(({ entry, status }) => describeFenced(entry, status, true))]
+  return { endpoints: [...endpoints, ...await pendingDemotion], unfencedReplicas }
+}
+
+/**
+ * Has the old primary step down. An endpoint that already was a replica is treated as one, since its log may lack commits.
+ *
+ * @returns the old primary, or an empty list if it did not step down
+ */
+async function demoteOldPrimary (attempt: Attempt): Promise<FencedEndpoint[]> {
+  const { oldPrimary, term } = attempt
+  if (oldPrimary === undefined) return []
+  const before = await runOnAll(attempt, [oldPrimary], async c => await c.readStatus())
+  ensureNotReplaced(attempt, before)
+  if (before[0]?.status.role === 'replica') addOldPrimaryToReplicas(attempt)
+  if (before[0]?.status.role !== 'primary') return []
+  const after = await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
+  ensureNotReplaced(attempt, after)
+  return after.filter(({ status }) => status.role === 'replica').map(({ entry, status }) => describeFenced(entry, status, true))
 }
 
 /**
@@ -136,18 +240,20 @@
  *
  * @returns the replicas that hold the whole log, and the old primary; empty if it did not step down
  */
-async function fencePlannedChange (attempt: Attempt): Promise<FencedEndpoint[]> {
-  const { host, oldPrimary, replicas, term } = attempt
-  if (oldPrimary === undefined) return []
-  const [steppedDown] = await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
-  if (steppedDown === undefined || steppedDown.status.role !== 'replica') return []
-  const { received } = steppedDown.status
+async function fencePlannedChange (attempt: Attempt): Promise<FencedGroup> {
+  const { host, replicas } = attempt
+  const followers = await runOnAll(attempt, replicas, async c => await c.readStatus())
+  ensureNotReplaced(attempt, followers)
+  if (replicas.length - followers.length > MAX_UNFENCED_BESIDE_PRIMARY) return { endpoints: [], unfencedReplicas: replicas.length - followers.length }
+  const [steppedDown] = await demoteOldPrimary(attempt)
+  if (steppedDown === undefined) return attempt.oldPrimary === undefined ? await fenceReplicas(attempt) : { endpoints: [], unfencedReplicas: replicas.length }
   const deadlineMs = host.clock.readNow() + CATCH_UP_TIMEOUT_MS
   for (;;) {
     const statuses = await runOnAll(attempt, replicas, async c => await c.readStatus())
-    const caughtUp = statuses.filter(({ status }) => comparePositions(status.received, received) >= 0).map(({ entry, status }) => describeFenced(entry, status, false))
-    if (caughtUp.length > 0) return [...caughtUp, describeFenced(oldPrimary, steppedDown.status, true)]
-    if (host.clock.readNow() >= deadlineMs) return [describeFenced(oldPrimary, steppedDown.status, true)]
+    ensureNotReplaced(attempt, statuses)
+    const caughtUp = statuses.filter(({ status }) => comparePositions(status.received, steppedDown.received) >= 0).map(({ entry, status }) => describeFenced(entry, status, false))
+    const unfencedReplicas = replicas.length - statuses.length
+    if (caughtUp.length > 0 || host.clock.readNow() >= deadlineMs) return { endpoints: [...caughtUp, steppedDown], unfencedReplicas }
     await waitFor(RETRY_DELAY_MS)
   }
 }
@@ -158,22 +264,40 @@
 
 /** Waits until the lease of the old primary has expired on VMs that did not confirm the revocation and may still send it reads. */
 async function waitForLeases (attempt: Attempt, fencedAtMs: number): Promise<void> {
-  const { host, group, term } = attempt
+  const { host, group } = attempt
   const waitMs = fencedAtMs + LEADER_LEASE_MS - host.clock.readNow()
   host.logger.info('waiting for leadership leases to expire', { service: group.service, waitMs: Math.round(waitMs) })
   if (waitMs > 0) await waitFor(waitMs)
-  if (attempt.reason === 'primary draining') return
-  const paused = await runOnAll(attempt, attempt.replicas, async c => await c.pause(term))
-  if (paused.some(({ status }) => status.role === 'primary')) throw new Error('another replica became primary while waiting for leadership leases to expire')
+}
+
+/**
+ * Reads the positions of the fenced endpoints again after a wait. One whose log has become shorter has restarted without it and
+ * counts as unfenced; a replica that was resumed by a restart is paused again.
+ */
+async function verifyFence (attempt: Attempt, { endpoints, unfencedReplicas }: FencedGroup): Promise<FencedGroup> {
+  const { host, group, replicas, oldPrimary, term } = attempt
+  const isPlanned = attempt.reason === 'primary draining'
+  const pendingStatus = runOnAll(attempt, oldPrimary === undefined ? [] : [oldPrimary], async c => await c.readStatus())
+  const statuses = await runOnAll(attempt, replicas, async c => isPlanned ? await c.readStatus() : await c.pause(term))
+  ensureNotReplaced(attempt, statuses)
+  const statusByEndpoint = new Map([...statuses, ...await pendingStatus].map(({ entry, status }) => [entry.endpoint, status]))
+  const current = endpoints.map(f => ({ ...f, received: statusByEndpoint.get(f.endpoint)?.received ?? f.received }))
+  const isPaused = ({ endpoint }: FencedEndpoint): boolean => (statusByEndpoint.get(endpoint)?.pausedForTerm ?? term) >= term
+  const verified = current.filter((f, i) => comparePositions(f.received, endpoints[i]!.received) >= 0 && (isPlanned || f.isOldPrimary || isPaused(f)))
+  if (verified.length < endpoints.length) host.logger.warn('fenced endpoints have lost their logs or their pause', { service: group.service, term, before: endpoints, after: current })
+  const lostReplicas = current.filter(f => !f.isOldPrimary && !verified.includes(f)).length
+  return { endpoints: verified, unfencedReplicas: unfencedReplicas + lostReplicas }
 }
 
 /** Requests the promotion and waits until it takes effect. @returns the endpoint, or `null` if it did not become primary */
 async function requestPromotion (attempt: Attempt, endpoint: string): Promise<string | null> {
-  const { host, group, claim } = attempt
-  if (!host.claims.isUsable(claim)) {
+  const { host, group } = attempt
+  const claim = await host.claims.ensureUsable(attempt.claim)
+  if (claim === null) {
     host.logger.warn('promotion cancelled, the failover claim has expired', { service: group.service })
     return null
   }
+  attempt.claim = claim
   const order = { service: group.service, endpoint, holder: host.vm, fencingToken: claim.fencingToken }
   const result = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
   host.logger.warn('promotion requested', { ...order, result })
@@ -200,18 +324,43 @@
   return null
 }
 
-/** Publishes the outcome, resumes the replicas, demotes the replaced primary and releases the claim. */
+/**
+ * Publishes the outcome, resumes the replicas, demotes the replaced primary and releases the claim. If another VM has claimed the duty
+ * meanwhile, it may have paused the same replicas, and relies on that; then they are left to it.
+ */
 async function finishAttempt (attempt: Attempt, promoted: string | null): Promise<void> {
-  const { host, group, claim, replicas, oldPrimary, term } = attempt
-  host.publishOutcome(group, promoted, term, attempt.leadershipVerifiedAtMs)
+  const { host, group, replicas, oldPrimary, term } = attempt
+  if (promoted !== null) host.publishOutcome(group, promoted, term, attempt.leadershipVerifiedAtMs)
+  const claim = await claimAgain(attempt)
+  if (claim === null) return
+  if (promoted === null) host.publishOutcome(group, null, term, attempt.leadershipVerifiedAtMs)
   const others = replicas.filter(e => e.endpoint !== promoted)
   await runOnAll(attempt, others, async c => await c.resume())
   if (oldPrimary !== undefined && promoted !== null && promoted !== oldPrimary.endpoint) await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
   await host.claims.release(claim)
 }
 
+/** Claims the duty again if the attempt's claim has expired. @returns `null` if another VM holds it, or the store has not responded for some seconds */
+async function claimAgain ({ host, group, claim }: Attempt): Promise<Claim | null> {
+  if (host.claims.isUsable(claim)) return claim
+  for (let attempts = 1; attempts <= MAX_RENEWAL_ATTEMPTS; attempts++) {
+    try {
+      const renewed = await host.claims.claim(group.service)
+      if (renewed === null) host.logger.warn('replicas not resumed, another VM holds the failover claim', { service: group.service })
+      return renewed
+    } catch (error) {
+      host.logger.info('renewal of the failover claim failed', { service: group.service, reason: describeError(error) })
+      await waitFor(RENEWAL_RETRY_DELAY_MS)
+    }
+  }
+  host.logger.warn('replicas not resumed, the failover claim has expired and the store does not respond', { service: group.service })
+  return null
+}
+
+interface EndpointResult { entry: EndpointEntry, status: EndpointStatus }
+
 /** Runs a command on several endpoints at once. @returns the statuses of those that responded */
-async function runOnAll (attempt: Attempt, entries: readonly EndpointEntry[], command: ControlCommand): Promise<Array<{ entry: EndpointEntry, status: EndpointStatus }>> {
+async function runOnAll (attempt: Attempt, entries: readonly EndpointEntry[], command: ControlCommand): Promise<EndpointResult[]> {
   const results = await Promise.all(entries.map(async entry => ({ entry, status: await runWithRetries(attempt, entry, command) })))
   return results.flatMap(({ entry, status }) => status === null ? [] : [{ entry, status }])
 }
