--- a/packages/gateway/src/fleet/registration.test.ts
+++ b/packages/gateway/src/fleet/registration.test.ts
@@ -25,7 +25,7 @@
     store,
     clock: new VirtualClock(),
     logger,
-    createReport: poll => ({ type: 'report', sequence: poll.sequence, groups: [], demand: [], configurationVersion: 0 }),
+    createReport: (_vm, poll) => ({ type: 'report', sequence: poll.sequence, groups: [], demand: [], configurationVersion: 0 }),
     createPoll: sequence => ({ type: 'poll', sequence, vmsKnown: 1 }),
     applyReport: () => {},
     handleMessage: () => {},
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -140,7 +140,7 @@
       if (other === undefined || !this.canReach(other)) continue
       recordReport(this.members, other.name, nowMs)
       const { createReport } = other.#handler.createHandlers()
-      this.#handler.createHandlers().applyReport(other.name, createReport({ type: 'poll', sequence: 1, vmsKnown: this.members.members.size + 1 }), nowMs)
+      this.#handler.createHandlers().applyReport(other.name, createReport(this.name, { type: 'poll', sequence: 1, vmsKnown: this.members.members.size + 1 }), nowMs)
     }
   }
 
