Count a fenced endpoint that falls silent as unfenced

What callers saw: a replica that restarted without its log during the wait for leases, and that the promoting VM then did not reach, was promoted by the position it had before (LOST).

Fix: only endpoints that answer after the wait count as fenced. Refused now: a promotion in which a fenced replica falls silent during the wait, unless the VMs know every acknowledged position; the next attempt fences again.

Test: `while a fenced endpoint restarts without its log and stops responding` failed before with `b lacks 1.1`.

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -226,6 +226,25 @@
     })
   })
 
+  describe('while a fenced endpoint restarts without its log and stops responding', () => {
+    it('does not promote it', async () => {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      fleet.group.find('a').isDeaf = true
+      vm2.commit()
+      await fleet.advance(50)
+      fleet.group.find('p').isRunning = false
+      vm2.kill()
+      const promoted = vm1.promote('primary lost')
+      await fleet.advance(600)
+      fleet.group.find('b').startAgain()
+      vm1.connector.unreachable.add('b')
+      await fleet.advance(6_000)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await promoted).to.equal(null)
+    })
+  })
+
   describe('after a replica has gone', () => {
     /** The only commit is on `p` and `b`; `a` lacks it. Then `b` goes. */
     async function setUpDeparture (depart: () => void): Promise<SimulatedVm> {
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -292,8 +292,8 @@
 }
 
 /**
- * Reads the positions of the fenced endpoints again after a wait. One whose log has become shorter has restarted without it and
- * counts as unfenced; a replica that was resumed by a restart is paused again.
+ * Reads the positions of the fenced endpoints again after a wait. One that does not respond, or whose log has become shorter because it
+ * has restarted without it, counts as unfenced; a replica that was resumed by a restart is paused again.
  */
 async function verifyFence (attempt: Attempt, { endpoints, unfencedReplicas }: FencedGroup): Promise<FencedGroup> {
   const { host, group, replicas, oldPrimary, term } = attempt
@@ -302,11 +302,13 @@
   const statuses = await runOnAll(attempt, replicas, async c => isPlanned ? await c.readStatus() : await c.pause(term))
   ensureNotReplaced(attempt, statuses)
   const statusByEndpoint = new Map([...statuses, ...await pendingStatus].map(({ entry, status }) => [entry.endpoint, status]))
-  const current = endpoints.map(f => ({ ...f, received: statusByEndpoint.get(f.endpoint)?.received ?? f.received }))
-  const isPaused = ({ endpoint }: FencedEndpoint): boolean => (statusByEndpoint.get(endpoint)?.pausedForTerm ?? term) >= term
-  const verified = current.filter((f, i) => comparePositions(f.received, endpoints[i]!.received) >= 0 && (isPlanned || f.isOldPrimary || isPaused(f)))
-  if (verified.length < endpoints.length) host.logger.warn('fenced endpoints have lost their logs or their pause', { service: group.service, term, before: endpoints, after: current })
-  const lostReplicas = current.filter(f => !f.isOldPrimary && !verified.includes(f)).length
+  const verified = endpoints.flatMap(f => {
+    const status = statusByEndpoint.get(f.endpoint)
+    if (status === undefined || comparePositions(status.received, f.received) < 0) return []
+    return isPlanned || f.isOldPrimary || status.pausedForTerm >= term ? [{ ...f, received: status.received }] : []
+  })
+  if (verified.length < endpoints.length) host.logger.warn('fenced endpoints do not respond, or have lost their logs or their pause', { service: group.service, term, before: endpoints, after: Object.fromEntries(statusByEndpoint) })
+  const lostReplicas = endpoints.filter(f => !f.isOldPrimary).length - verified.filter(f => !f.isOldPrimary).length
   return { endpoints: verified, unfencedReplicas: unfencedReplicas + lostReplicas }
 }
 
