Read the old primary's position again before it is promoted back

What callers saw: a draining primary stepped down, restarted without its log while its replicas were given time to catch up, and was promoted again (LOST).

Cause: its position was read when it stepped down, and used 0.6 s later. Fix: if no replica has caught up in time, it is read again; a shorter log or no answer ends the attempt.

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -245,6 +245,25 @@
     })
   })
 
+  describe('while a draining primary restarts without its log after it has stepped down', () => {
+    it('does not promote it again', async () => {
+      const vm = fleet.startVm('vm1')
+      vm.addEndpoints()
+      vm.commit()
+      await fleet.advance(50)
+      fleet.group.find('a').isDeaf = true
+      vm.commit()
+      await fleet.advance(50)
+      vm.connector.unreachable.add('b')
+      const promoted = vm.promote('primary draining')
+      await fleet.advance(300)
+      fleet.group.find('p').startAgain()
+      await fleet.advance(5_000)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await promoted).to.equal(null)
+    })
+  })
+
   describe('after a replica has gone', () => {
     /** The only commit is on `p` and `b`; `a` lacks it. Then `b` goes. */
     async function setUpDeparture (depart: () => void): Promise<SimulatedVm> {
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -274,7 +274,8 @@
     ensureNotReplaced(attempt, statuses)
     const caughtUp = statuses.filter(({ status }) => comparePositions(status.received, steppedDown.received) >= 0).map(({ entry, status }) => describeFenced(entry, status, false))
     const unfencedReplicas = replicas.length - statuses.length
-    if (caughtUp.length > 0 || host.clock.readNow() >= deadlineMs) return { endpoints: [...caughtUp, steppedDown], unfencedReplicas }
+    if (caughtUp.length > 0) return { endpoints: [...caughtUp, steppedDown], unfencedReplicas }
+    if (host.clock.readNow() >= deadlineMs) return await verifyFence(attempt, { endpoints: [steppedDown], unfencedReplicas })
     await waitFor(RETRY_DELAY_MS)
   }
 }
