Notice a replica that has lost its log before its restart is registered

What callers saw: a replica restarted without its log right before a promotion. Its new start was not in the directory of the promoting VM yet, so its empty log counted as complete, and another replica without its commits was promoted (LOST).

Cause: a restart was known from the directory only. Fix: each VM keeps the latest position that an endpoint has shown in its responses since its registered start. A fenced endpoint whose log is shorter counts as just started.

Not covered: a replica whose positions the promoting VM has never seen.

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -309,6 +309,16 @@
       expect(promoted).to.equal(null)
     })
 
+    it('promotes no replica that lacks a commit which another had received before a restart that is not registered yet', async () => {
+      const vm = await setUpDeparture(() => {})
+      await vm.read('b')
+      fleet.group.find('b').startAgain()
+      fleet.group.find('b').isDeaf = true
+      const promoted = await crashAndPromote(vm)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(promoted).to.equal(null)
+    })
+
     it('promotes no replica that lacks a commit of one that only another VM knows', async () => {
       const vm = await setUpDeparture(() => { fleet.vms.get('vm2')!.group.removeEntry('b') })
       vm.connector.unreachable.add('b')
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -232,7 +232,7 @@
   const paused = await runOnAll(attempt, replicas, async c => await pauseReplica(c, term))
   ensureNotReplaced(attempt, paused)
   const isPaused = (s: EndpointStatus): boolean => s.role === 'replica' && s.pausedForTerm >= term
-  const endpoints = paused.filter(({ status }) => isPaused(status)).map(({ entry, status }) => describeFenced(entry, status, false))
+  const endpoints = paused.filter(({ status }) => isPaused(status)).map(({ entry, status }) => describeFenced(attempt, entry, status, false))
   const unfencedReplicas = replicas.length - endpoints.length
   if (unfencedReplicas === 0) return { endpoints, unfencedReplicas }
   host.logger.info('not all replicas fenced', { service: attempt.group.service, term, responses: paused.map(p => ({ endpoint: p.entry.endpoint, ...p.status })) })
@@ -253,7 +253,7 @@
   if (before[0]?.status.role !== 'primary') return []
   const after = await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
   ensureNotReplaced(attempt, after)
-  return after.filter(({ status }) => status.role === 'replica').map(({ entry, status }) => describeFenced(entry, status, true))
+  return after.filter(({ status }) => status.role === 'replica').map(({ entry, status }) => describeFenced(attempt, entry, status, true))
 }
 
 /**
@@ -272,7 +272,7 @@
   for (;;) {
     const statuses = await runOnAll(attempt, replicas, async c => await c.readStatus())
     ensureNotReplaced(attempt, statuses)
-    const caughtUp = statuses.filter(({ status }) => comparePositions(status.received, steppedDown.received) >= 0).map(({ entry, status }) => describeFenced(entry, status, false))
+    const caughtUp = statuses.filter(({ status }) => comparePositions(status.received, steppedDown.received) >= 0).map(({ entry, status }) => describeFenced(attempt, entry, status, false))
     const unfencedReplicas = replicas.length - statuses.length
     if (caughtUp.length > 0) return { endpoints: [...caughtUp, steppedDown], unfencedReplicas }
     if (host.clock.readNow() >= deadlineMs) return await verifyFence(attempt, { endpoints: [steppedDown], unfencedReplicas })
@@ -280,8 +280,11 @@
   }
 }
 
-function describeFenced (entry: EndpointEntry, status: EndpointStatus, isOldPrimary: boolean): FencedEndpoint {
-  return { endpoint: entry.endpoint, received: status.received, isDraining: entry.isDraining, ageMs: Date.now() - entry.startedAtMs, isOldPrimary }
+/** An endpoint whose log is shorter than it has been has lost it, and counts as just started even if its restart is not registered yet. */
+function describeFenced ({ group }: Attempt, entry: EndpointEntry, { received }: EndpointStatus, isOldPrimary: boolean): FencedEndpoint {
+  const latest = group.pools.get(entry.endpoint)?.latestPosition ?? null
+  const hasLostLog = latest !== null && comparePositions(received, latest) < 0
+  return { endpoint: entry.endpoint, received, isDraining: entry.isDraining, ageMs: hasLostLog ? 0 : Date.now() - entry.startedAtMs, isOldPrimary }
 }
 
 /** Waits until the lease of the old primary has expired on VMs that did not confirm the revocation and may still send it reads. */
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, LogPosition } from '@camphorpitch/wire'
+import { pickLaterPosition, type Clock, type Logger, type LogPosition } from '@camphorpitch/wire'
 import type { EndpointResponse, EndpointConnector } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError } from '../backend/errors.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
@@ -142,6 +142,7 @@
       const nowMs = clock.readNow()
       recordResponse(pool.health, sentAtMs, nowMs)
       if (isWrite) this.#recordWriteResponse(endpoint, sentAtMs, response, nowMs)
+      if (response.position !== null) pool.latestPosition = pickLaterPosition(pool.latestPosition, response.position)
       this.#recordPosition(endpoint, sentAtMs, response.position, nowMs)
       return response
     } catch (error) {
--- a/packages/gateway/src/pool/endpoint-pool.ts
+++ b/packages/gateway/src/pool/endpoint-pool.ts
@@ -1,4 +1,4 @@
-import { describeError, type Clock, type Logger } from '@camphorpitch/wire'
+import { describeError, type Clock, type Logger, type LogPosition } from '@camphorpitch/wire'
 import type { EndpointConnector } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError, EndpointRefusedError } from '../backend/errors.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
@@ -54,6 +54,8 @@
   readonly health: EndpointHealth = createHealth()
   /** Time until which the endpoint's log is likely to lack the positions that reads require. */
   laggingUntilMs = -Infinity
+  /** Latest position that the endpoint's log is known to have held since its registered start; `null` if none is known. */
+  latestPosition: LogPosition | null = null
   /** Since when the endpoint is known to drain; `null` while it does not. */
   drainingSinceMs: number | null = null
   readonly #options: EndpointPoolOptions
@@ -72,6 +74,7 @@
 
   /** Updates the pool with the endpoint's latest directory entry. */
   updateEntry (entry: EndpointEntry): void {
+    if (entry.startedAtMs !== this.entry.startedAtMs) this.latestPosition = null
     this.entry = entry
     this.drainingSinceMs = entry.isDraining ? this.drainingSinceMs ?? this.#options.clock.readNow() : null
   }
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -127,6 +127,13 @@
     group.runStatement(pool, true, STATEMENT_TIMEOUT_MS, send).catch(() => {}) // No response in time: the client's outcome is unknown.
   }
 
+  /** Reads at an endpoint, which responds with its position. */
+  async read (endpoint: string): Promise<void> {
+    const pool = this.group.pools.get(endpoint)
+    const { received } = this.#fleet.group.find(endpoint)
+    if (pool !== undefined) await this.group.runStatement(pool, false, STATEMENT_TIMEOUT_MS, async () => ({ rows: [], signature: 'signature', error: null, state: 'idle', position: received }))
+  }
+
   canReach (other: SimulatedVm): boolean {
     return this.isRunning && other.isRunning && !this.unreachableVms.has(other.name) && !other.unreachableVms.has(this.name)
   }
