--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -5,8 +5,10 @@
 import { ElapsedClock } from './clock/elapsed-clock.ts'
 import { ConfigurationHolder } from './configuration/configuration-holder.ts'
 import { applyChanges, applyListing, createDirectory, recordStoreRecovery, removeExpiredLapsedEntries, type DirectoryState } from './directory/directory.ts'
-import { drainSessions } from './drain/drain.ts'
+import { drainSessions, finishSessions } from './drain/drain.ts'
+import { runStopSteps } from './drain/stop-steps.ts'
 import { ControlConnections } from './failover/control-connections.ts'
+import { ClaimInquiries } from './failover/claim-inquiries.ts'
 import { DutyClaims } from './failover/duty-claim.ts'
 import { FailoverWatch } from './failover/failover-watch.ts'
 import { LeadershipVerifier } from './failover/verify-leadership.ts'
@@ -110,15 +112,24 @@
   return {
     metrics,
     isReady,
-    readStatus: () => createGatewayStatus({ ...components, isReady, countSessions: () => sessions.size }),
+    readStatus: () => createGatewayStatus({ ...components, store: adapters.store, isReady, countSessions: () => sessions.size }),
     drain: async () => {
       isDraining = true
-      await drainSessions({ clock, logger, graceMs: settings.graceS * 1_000, listSessions: () => [...sessions] })
+      const stop = { clock, logger, startedAtMs: clock.readNow(), graceMs: settings.graceS * MS_PER_SECOND, listSessions: () => [...sessions] }
+      await drainSessions(stop)
       clearInterval(maintenanceTimer)
       for (const w of watches) w.stop()
       failover.stop()
-      await Promise.all([fleet.stop(), adapters.listener.stop()])
-      await network.stop()
+      await runStopSteps(stop, {
+        'sessions ended': async () => {
+          await adapters.listener.stop()
+          await finishSessions(stop)
+        },
+        'fleet left': async () => await fleet.stop()
+      })
+      await runStopSteps(stop, { 'links closed': async () => await network.stop() })
+      for (const session of sessions) session.recordEnd('processExit')
+      logger.info('stopped', { sinceStopMs: Math.round(clock.readNow() - stop.startedAtMs) })
     }
   }
 }
@@ -143,13 +154,14 @@
   const network = createNetwork(self, members, logger)
   const fleetMessageHandler = new FleetMessageHandler({ clock, logger, self, configuration, groups, quotas, members, quotaRecord })
   const fleet = new Fleet({ state: members, network, store, clock, logger, ...fleetMessageHandler.createHandlers() })
-  const claims = new DutyClaims({ store, clock, logger, vm: settings.vm, incarnation })
+  const claimInquiries: ClaimInquiries = new ClaimInquiries({ store, clock, members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => fleet.send(vm, message) })
+  const claims: DutyClaims = new DutyClaims({ store, clock, logger, vm: settings.vm, incarnation, confirmNoClaims: async (service, epoch) => await claimInquiries.confirmNoClaims(service, epoch) })
   const host = { clock, logger, vm: settings.vm, control: controlConnections, claims, promoter, ...fleetMessageHandler.createPromotionCallbacks() }
   const recordResult = (service: string, result: string): void => metrics.promotions.inc({ service, result })
   const failover = new FailoverWatch({ clock, logger, members, host, listGroups: () => groups.list(), poll: () => fleet.poll(), recordResult })
   const permits = new PermitClient({ clock, logger, windowMs: settings.quota.windowS * MS_PER_SECOND, counting, quotas, send: (vm, message) => fleet.send(vm, message) })
   network.subscribeLinkLoss(vm => permits.handleLinkLoss(vm))
-  fleetMessageHandler.connect(fleet, failover, permits)
+  fleetMessageHandler.connect(fleet, failover, permits, claimInquiries)
   return { settings, adapters, logger, clock, metrics, configuration, directory, members, groups, quotas, permits, quotaRecord, leadershipVerifier, network, fleet, failover }
 }
 
@@ -159,8 +171,13 @@
   return new WsPeerNetwork({ self: hello, clock: new MonotonicClock(), logger, findAddress })
 }
 
-function startWatches ({ adapters: { store }, logger, clock, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
+function startWatches ({ adapters: { store }, logger, clock, metrics, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
   const handleStoreRecovery = (): void => recordStoreRecovery(directory, clock.readNow())
+  store.epochs.subscribe(change => {
+    logger.warn('metadata store returned from an older copy', { ...change, configurationVersion: configuration.version })
+    metrics.storeEpochChanges.inc()
+    handleStoreRecovery()
+  })
   const endpointsWatch = watchKind({
     store,
     logger,
@@ -175,8 +192,8 @@
     logger,
     kind: 'configuration',
     coalesceMs: CONFIGURATION_COALESCE_MS,
-    applyListing: ({ items }) => { for (const { value } of items) if (value !== null) configuration.apply(value, 'list') },
-    applyChanges: changes => { for (const { object } of changes) if (object.value !== null) configuration.apply(object.value, 'watch') }
+    applyListing: ({ items }) => { for (const { value, revision } of items) if (value !== null) configuration.apply(value, 'list', revision.epoch) },
+    applyChanges: changes => { for (const { object } of changes) if (object.value !== null) configuration.apply(object.value, 'watch', object.revision.epoch) }
   })
   return [endpointsWatch, configurationWatch]
 }
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -1,6 +1,9 @@
+import { isDeepStrictEqual } from 'node:util'
 import type { Clock, Hello, Logger, PeerNetwork } from '@camphorpitch/wire'
 import type { z } from 'zod'
-import { RevisionConflictError, type MetadataStore } from '../metadata/metadata-store.ts'
+import { RevisionConflictError } from '../metadata/errors.ts'
+import type { MetadataStore } from '../metadata/metadata-store.ts'
+import type { Revision } from '../metadata/revision.ts'
 import { watchKind, type KindWatch } from '../metadata/watch-kind.ts'
 import { addMember, REMOVE_ENTRY_AFTER_MS, isResponsive, listPolled, measureUnansweredMs, recordLeft, recordPoll, recordReport, removeMember, type MemberState } from './members.ts'
 import { fleetMessageSchema, vmEntrySchema, type FleetMessage, type pollSchema, type Report } from './message-schemas.ts'
@@ -32,8 +35,8 @@
   store: MetadataStore
   clock: Clock
   logger: Logger
-  /** Creates the response to another VM's poll. */
-  createReport: (poll: Poll) => Report
+  /** Creates the response to a poll of `vm`. */
+  createReport: (vm: string, poll: Poll) => Report
   createPoll: (sequence: number) => Poll
   /** Applies the report with which `vm` answered a poll that was sent at `pollSentAtMs`. */
   applyReport: (vm: string, report: Report, pollSentAtMs: number) => void
@@ -53,7 +56,8 @@
   #round = 0
   #roundTimer: NodeJS.Timeout | undefined
   #vmsWatch: KindWatch<'vms'> | undefined
-  #localEntryRevision: number | null = null
+  #localEntryRevision: Revision | null = null
+  #isRegistering = false
   #isStopped = false
 
   constructor (options: FleetOptions) {
@@ -84,7 +88,8 @@
         }
       }
     })
-    this.#register().catch((error: unknown) => logger.error('vm registration failed', { error: String(error) }))
+    store.epochs.subscribe(() => this.#startRegistration(true))
+    this.#startRegistration(false)
     this.#scheduleRound()
   }
 
@@ -113,6 +118,7 @@
     for (const vm of members.keys()) this.send(vm, { type: 'left', incarnation: self.incarnation })
     try {
       if (this.#localEntryRevision !== null) await store.delete('vms', self.vm, this.#localEntryRevision)
+      logger.info('local vm entry removed', { vm: self.vm })
     } catch (error) {
       logger.info('removal of the local vm entry failed', { reason: String(error) })
     }
@@ -144,7 +150,7 @@
     const message = parsed.data
     if (message.type === 'poll') {
       if (message.vm !== undefined) this.#addEntry(message.vm)
-      network.send(from.vm, FLEET_SLICE, createReport(message))
+      network.send(from.vm, FLEET_SLICE, createReport(from.vm, message))
     } else if (message.type === 'report') this.#receiveReport(from.vm, message)
     else if (message.type === 'left') this.#handleLeft(from.vm, message.incarnation)
     else handleMessage(from.vm, message)
@@ -176,27 +182,38 @@
     if (addMember(state, parsed.data)) logger.info('vm added to the members of the fleet', { ...parsed.data })
   }
 
-  async #register (): Promise<void> {
+  /** Starts to write this VM's entry into the store, unless that is in progress. */
+  #startRegistration (mayBeRegistered: boolean): void {
+    const { logger } = this.#options
+    if (this.#isRegistering || this.#isStopped) return
+    this.#isRegistering = true
+    this.#register(mayBeRegistered).catch((error: unknown) => logger.error('vm registration failed', { error: String(error) }))
+      .finally(() => { this.#isRegistering = false })
+  }
+
+  /** Writes this VM's entry until the store has it in its latest epoch. */
+  async #register (mayBeRegistered: boolean): Promise<void> {
     const { store, state: { self }, logger } = this.#options
-    for (let expectedRevision: number | null = null; !this.#isStopped && this.#localEntryRevision === null;) {
+    let isLookupNeeded = mayBeRegistered
+    while (!this.#isStopped && (this.#localEntryRevision === null || this.#localEntryRevision.epoch !== store.epochs.current)) {
       try {
-        this.#localEntryRevision = await store.write('vms', self.vm, self, expectedRevision)
-        logger.info('local vm entry registered', { vm: self.vm })
+        this.#localEntryRevision = isLookupNeeded ? await this.#replaceLocalEntry() : await store.write('vms', self.vm, self, null)
+        logger.info('local vm entry registered', { vm: self.vm, epoch: this.#localEntryRevision.epoch })
       } catch (error) {
-        expectedRevision = error instanceof RevisionConflictError ? await this.#findLocalEntryRevision() : expectedRevision
-        if (!(error instanceof RevisionConflictError)) await new Promise(resolve => setTimeout(resolve, REGISTRATION_RETRY_DELAY_MS))
+        const isFirstConflict = error instanceof RevisionConflictError && !isLookupNeeded
+        isLookupNeeded = isLookupNeeded || isFirstConflict
+        if (isFirstConflict) continue
+        logger.info('registration of the local vm entry failed', { reason: String(error) })
+        await new Promise(resolve => setTimeout(resolve, REGISTRATION_RETRY_DELAY_MS))
       }
     }
   }
 
-  async #findLocalEntryRevision (): Promise<number | null> {
-    const { store, state: { self }, logger } = this.#options
-    try {
-      return (await store.find('vms', self.vm))?.revision ?? null
-    } catch (error) {
-      logger.info('lookup of the local vm entry failed', { reason: String(error) })
-      return null
-    }
+  /** Writes this VM's entry in place of the one that the store has, unless they are equal. @returns the entry's revision */
+  async #replaceLocalEntry (): Promise<Revision> {
+    const { store, state: { self } } = this.#options
+    const found = await store.find('vms', self.vm)
+    return found !== undefined && isDeepStrictEqual(found.value, self) ? found.revision : await store.write('vms', self.vm, self, found?.revision ?? null)
   }
 
   /** Removes VMs that have left polls unanswered for so long that they are taken as stopped for good. */
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -10,7 +10,8 @@
 import type { FleetMessage } from '../fleet/message-schemas.ts'
 import { isLeadershipRevoked } from '../freshness/group-state.ts'
 import { ServiceGroup } from '../groups/service-group.ts'
-import { MetadataError, type MetadataStore } from '../metadata/metadata-store.ts'
+import { MetadataError } from '../metadata/errors.ts'
+import type { MetadataStore } from '../metadata/metadata-store.ts'
 import { MemoryStore } from './memory-store.ts'
 import { SimulatedConnector, SimulatedGroup } from './simulated-group.ts'
 import { VirtualTime } from './virtual-time.ts'
@@ -146,7 +147,7 @@
       if (other === undefined || !this.canReach(other)) continue
       recordReport(this.members, other.name, nowMs)
       const { createReport } = other.#handler.createHandlers()
-      this.#handler.createHandlers().applyReport(other.name, createReport({ type: 'poll', sequence: 1, vmsKnown: this.members.members.size + 1 }), nowMs)
+      this.#handler.createHandlers().applyReport(other.name, createReport(this.name, { type: 'poll', sequence: 1, vmsKnown: this.members.members.size + 1 }), nowMs)
     }
   }
 
@@ -159,7 +160,7 @@
 
   #createHandler (): FleetMessageHandler {
     const { time, logger } = this.#fleet
-    const quotas = { listDemand: () => [], recordVmDemand: () => {} }
+    const quotas = { createDemandReport: () => [], recordVmDemand: () => {} }
     const options = { clock: time, logger, self: this.members.self, configuration: { subscribe: () => {}, version: 0, current: null }, groups: { find: () => this.group, list: () => [this.group] }, quotas, members: this.members, quotaRecord: {} }
     const handler = new FleetMessageHandler(options as unknown as FleetMessageHandlerOptions)
     const [fleet, failover, permits] = [{ send: (vm: string, message: FleetMessage) => this.#send(vm, message), poll: () => {} }, { recordPrimaryChange: () => {} }, {}]
@@ -171,7 +172,9 @@
   #createStore (): MetadataStore {
     const { store } = this.#fleet
     const ensureRunning = (): void => { if (!this.isRunning || !this.isStoreReachable) throw new MetadataError('the VM does not reach the store') }
-    const access: Pick<MetadataStore, 'find' | 'write'> = {
+    const access: Pick<MetadataStore, 'epochs' | 'find' | 'list' | 'write'> = {
+      epochs: store.epochs,
+      list: async kind => { ensureRunning(); return await store.list(kind) },
       find: async (kind, name) => { ensureRunning(); return await store.find(kind, name) },
       write: async (kind, name, value, revision) => { ensureRunning(); return await store.write(kind, name, value, revision) }
     }
