--- a/packages/gateway/src/failover/promotion-histories.test.ts
+++ b/packages/gateway/src/failover/promotion-histories.test.ts
@@ -23,18 +23,23 @@
   }
 
   async run (): Promise<void> {
-    for (let step = 0; step < STEPS && this.fleet.group.lost.length === 0; step++) {
-      for (const vm of this.fleet.vms.values()) {
-        if (this.#draw(0.4)) vm.commit()
-        if (this.#draw(0.05)) this.#promote(vm)
-        if (this.#draw(0.1)) vm.pollOthers()
-      }
-      this.#changeEndpoints()
-      this.#changeVms()
-      await this.fleet.advance(STEP_MS)
+    try {
+      for (let step = 0; step < STEPS && this.fleet.group.lost.length === 0; step++) await this.#runStep()
+    } finally {
+      this.fleet.time.stop()
     }
     this.promotions = [...this.fleet.vms.values()].reduce((sum, vm) => sum + vm.orders.length, 0)
-    this.fleet.time.stop()
+  }
+
+  async #runStep (): Promise<void> {
+    for (const vm of this.fleet.vms.values()) {
+      if (this.#draw(0.4)) vm.commit()
+      if (this.#draw(0.05)) this.#promote(vm)
+      if (this.#draw(0.1)) vm.pollOthers()
+    }
+    this.#changeEndpoints()
+    this.#changeVms()
+    await this.fleet.advance(STEP_MS)
   }
 
   #draw (probability: number): boolean {
--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -226,6 +226,44 @@
     })
   })
 
+  describe('while a fenced endpoint restarts without its log and stops responding', () => {
+    it('does not promote it', async () => {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      fleet.group.find('a').isDeaf = true
+      vm2.commit()
+      await fleet.advance(50)
+      fleet.group.find('p').isRunning = false
+      vm2.kill()
+      const promoted = vm1.promote('primary lost')
+      await fleet.advance(600)
+      fleet.group.find('b').startAgain()
+      vm1.connector.unreachable.add('b')
+      await fleet.advance(6_000)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await promoted).to.equal(null)
+    })
+  })
+
+  describe('while a draining primary restarts without its log after it has stepped down', () => {
+    it('does not promote it again', async () => {
+      const vm = fleet.startVm('vm1')
+      vm.addEndpoints()
+      vm.commit()
+      await fleet.advance(50)
+      fleet.group.find('a').isDeaf = true
+      vm.commit()
+      await fleet.advance(50)
+      vm.connector.unreachable.add('b')
+      const promoted = vm.promote('primary draining')
+      await fleet.advance(300)
+      fleet.group.find('p').startAgain()
+      await fleet.advance(5_000)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await promoted).to.equal(null)
+    })
+  })
+
   describe('after a replica has gone', () => {
     /** The only commit is on `p` and `b`; `a` lacks it. Then `b` goes. */
     async function setUpDeparture (depart: () => void): Promise<SimulatedVm> {
@@ -271,6 +309,16 @@
       expect(promoted).to.equal(null)
     })
 
+    it('promotes no replica that lacks a commit which another had received before a restart that is not registered yet', async () => {
+      const vm = await setUpDeparture(() => {})
+      await vm.read('b')
+      fleet.group.find('b').startAgain()
+      fleet.group.find('b').isDeaf = true
+      const promoted = await crashAndPromote(vm)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(promoted).to.equal(null)
+    })
+
     it('promotes no replica that lacks a commit of one that only another VM knows', async () => {
       const vm = await setUpDeparture(() => { fleet.vms.get('vm2')!.group.removeEntry('b') })
       vm.connector.unreachable.add('b')
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -232,7 +232,7 @@
   const paused = await runOnAll(attempt, replicas, async c => await pauseReplica(c, term))
   ensureNotReplaced(attempt, paused)
   const isPaused = (s: EndpointStatus): boolean => s.role === 'replica' && s.pausedForTerm >= term
-  const endpoints = paused.filter(({ status }) => isPaused(status)).map(({ entry, status }) => describeFenced(entry, status, false))
+  const endpoints = paused.filter(({ status }) => isPaused(status)).map(({ entry, status }) => describeFenced(attempt, entry, status, false))
   const unfencedReplicas = replicas.length - endpoints.length
   if (unfencedReplicas === 0) return { endpoints, unfencedReplicas }
   host.logger.info('not all replicas fenced', { service: attempt.group.service, term, responses: paused.map(p => ({ endpoint: p.entry.endpoint, ...p.status })) })
@@ -253,7 +253,7 @@
   if (before[0]?.status.role !== 'primary') return []
   const after = await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
   ensureNotReplaced(attempt, after)
-  return after.filter(({ status }) => status.role === 'replica').map(({ entry, status }) => describeFenced(entry, status, true))
+  return after.filter(({ status }) => status.role === 'replica').map(({ entry, status }) => describeFenced(attempt, entry, status, true))
 }
 
 /**
@@ -272,15 +272,19 @@
   for (;;) {
     const statuses = await runOnAll(attempt, replicas, async c => await c.readStatus())
     ensureNotReplaced(attempt, statuses)
-    const caughtUp = statuses.filter(({ status }) => comparePositions(status.received, steppedDown.received) >= 0).map(({ entry, status }) => describeFenced(entry, status, false))
+    const caughtUp = statuses.filter(({ status }) => comparePositions(status.received, steppedDown.received) >= 0).map(({ entry, status }) => describeFenced(attempt, entry, status, false))
     const unfencedReplicas = replicas.length - statuses.length
-    if (caughtUp.length > 0 || host.clock.readNow() >= deadlineMs) return { endpoints: [...caughtUp, steppedDown], unfencedReplicas }
+    if (caughtUp.length > 0) return { endpoints: [...caughtUp, steppedDown], unfencedReplicas }
+    if (host.clock.readNow() >= deadlineMs) return await verifyFence(attempt, { endpoints: [steppedDown], unfencedReplicas })
     await waitFor(RETRY_DELAY_MS)
   }
 }
 
-function describeFenced (entry: EndpointEntry, status: EndpointStatus, isOldPrimary: boolean): FencedEndpoint {
-  return { endpoint: entry.endpoint, received: status.received, isDraining: entry.isDraining, ageMs: Date.now() - entry.startedAtMs, isOldPrimary }
+/** An endpoint whose log is shorter than it has been has lost it, and counts as just started even if its restart is not registered yet. */
+function describeFenced ({ group }: Attempt, entry: EndpointEntry, { received }: EndpointStatus, isOldPrimary: boolean): FencedEndpoint {
+  const latest = group.pools.get(entry.endpoint)?.latestPosition ?? null
+  const hasLostLog = latest !== null && comparePositions(received, latest) < 0
+  return { endpoint: entry.endpoint, received, isDraining: entry.isDraining, ageMs: hasLostLog ? 0 : Date.now() - entry.startedAtMs, isOldPrimary }
 }
 
 /** Waits until the lease of the old primary has expired on VMs that did not confirm the revocation and may still send it reads. */
@@ -292,8 +296,8 @@
 }
 
 /**
- * Reads the positions of the fenced endpoints again after a wait. One whose log has become shorter has restarted without it and
- * counts as unfenced; a replica that was resumed by a restart is paused again.
+ * Reads the positions of the fenced endpoints again after a wait. One that does not respond, or whose log has become shorter because it
+ * has restarted without it, counts as unfenced; a replica that was resumed by a restart is paused again.
  */
 async function verifyFence (attempt: Attempt, { endpoints, unfencedReplicas }: FencedGroup): Promise<FencedGroup> {
   const { host, group, replicas, oldPrimary, term } = attempt
@@ -302,11 +306,13 @@
   const statuses = await runOnAll(attempt, replicas, async c => isPlanned ? await c.readStatus() : await c.pause(term))
   ensureNotReplaced(attempt, statuses)
   const statusByEndpoint = new Map([...statuses, ...await pendingStatus].map(({ entry, status }) => [entry.endpoint, status]))
-  const current = endpoints.map(f => ({ ...f, received: statusByEndpoint.get(f.endpoint)?.received ?? f.received }))
-  const isPaused = ({ endpoint }: FencedEndpoint): boolean => (statusByEndpoint.get(endpoint)?.pausedForTerm ?? term) >= term
-  const verified = current.filter((f, i) => comparePositions(f.received, endpoints[i]!.received) >= 0 && (isPlanned || f.isOldPrimary || isPaused(f)))
-  if (verified.length < endpoints.length) host.logger.warn('fenced endpoints have lost their logs or their pause', { service: group.service, term, before: endpoints, after: current })
-  const lostReplicas = current.filter(f => !f.isOldPrimary && !verified.includes(f)).length
+  const verified = endpoints.flatMap(f => {
+    const status = statusByEndpoint.get(f.endpoint)
+    if (status === undefined || comparePositions(status.received, f.received) < 0) return []
+    return isPlanned || f.isOldPrimary || status.pausedForTerm >= term ? [{ ...f, received: status.received }] : []
+  })
+  if (verified.length < endpoints.length) host.logger.warn('fenced endpoints do not respond, or have lost their logs or their pause', { service: group.service, term, before: endpoints, after: Object.fromEntries(statusByEndpoint) })
+  const lostReplicas = endpoints.filter(f => !f.isOldPrimary).length - verified.filter(f => !f.isOldPrimary).length
   return { endpoints: verified, unfencedReplicas: unfencedReplicas + lostReplicas }
 }
 
