Let the test of closed connections wait for the outcome of an unnamed write too

Its last step raced a timeout of 100 ms as well: with the test's event loop blocked for 10 to 30 ms every 22 ms, 1 of 4 runs was red (refused, refused, ok instead of refused, ok), where the first attempt had run out of time before the write was sent. It now repeats the attempt with the fault held, as the test of unknown outcomes does, and then sends the write again; the write must have run at least twice, at most once an attempt, and the amount must match. The write adds 2 so that its runs are told from those of the named writes.

--- a/packages/proxy/src/serving/database-service.test.ts
+++ b/packages/proxy/src/serving/database-service.test.ts
@@ -372,10 +372,13 @@
       expect((await responses).at(-1)).to.deep.include({ kind: 'ok', affectedRows: 1 })
     }
     expect(listCells(await run('SELECT n FROM t', { required: null }))).to.deep.equal([['20']])
-    instances[0]!.applyFaults({ dropReplies: 1 })
-    const unnamedResponses = await repeatUntilOk('UPDATE t SET n = n + 1', { timeoutMs: 100 })
-    expect(unnamedResponses.map(f => f.kind)).to.deep.equal(['refused', 'ok'])
-    expect(listCells(await run('SELECT n FROM t', { required: null })), 'a repeated unnamed write runs twice').to.deep.equal([['22']])
+    const unnamedText = 'UPDATE t SET n = n + 2'
+    const dropReply = (): void => instances[0]!.applyFaults({ dropReplies: 1 })
+    expect(await runUntilOutcome('outcomeUnknown', unnamedText, { decisiveText: unnamedText, injectFault: dropReply, timeoutMs: 100 })).to.equal('outcomeUnknown')
+    expect((await run(unnamedText)).map(f => f.kind)).to.deep.equal(['ok'])
+    const unnamedRuns = countStatementRuns(unnamedText)
+    expect(unnamedRuns, 'a repeated unnamed write runs twice').to.be.at.least(2)
+    expect(listCells(await run('SELECT n FROM t', { required: null }))).to.deep.equal([[String(20 + 2 * unnamedRuns)]])
   })
 
   it('serves reads after a change of primary before any client has written in the new term', async () => {
