List an excess over small limits in large fleets when clients begin on every VM at once

Found while the cause of the excess with four VMs was looked for in the mode in which three VMs count a limit; it is another one. A calm workspace's operations are admitted before a counting VM has confirmed them: one on each VM, and as many again as it usually has. The sum grows with the number of VMs; the limit does not. The counting VMs take the operations as a debt, but 76 VMs can admit more at once than a small limit allows in a window. Not mended: a bound by the number of VMs takes admissions from VMs that reach no counting VM, which needs measuring first.

--- a/packages/gateway/src/limits/permit-requests.test.ts
+++ b/packages/gateway/src/limits/permit-requests.test.ts
@@ -103,6 +103,33 @@
   return { admitted, requested, messages: fleet.messages, fleet }
 }
 
+/** Simulates a calm workspace on which, after 14 s, one client on each VM sends without pause. Returns when operations were admitted. */
+async function simulatePress (size: number, workspace: Workspace, seed: number): Promise<number[]> {
+  const random = createSeededRandom(seed)
+  const fleet = new FakeFleet(size, [workspace])
+  fleet.delayMs = STEP_MS
+  const names = [...fleet.vms.keys()]
+  const waiting = new Set<string>()
+  const admitted: number[] = []
+  for (let nowMs = STEP_MS; nowMs < 20_000; nowMs += STEP_MS) {
+    fleet.clock.nowMs = nowMs
+    fleet.deliverDelayedResponses()
+    if (nowMs % ROUND_MS === 0) fleet.update()
+    const isCalmRequest = random() < workspace.ratePerSecond! * 0.6 * STEP_MS / 1_000
+    const calmNames = isCalmRequest ? [names[Math.floor(random() * names.length)]!] : []
+    for (const name of nowMs < 14_000 ? calmNames : names.filter(n => !waiting.has(n))) {
+      waiting.add(name)
+      const handleVerdict = ({ isAdmitted }: { isAdmitted: boolean }): void => {
+        waiting.delete(name)
+        if (isAdmitted) admitted.push(nowMs)
+      }
+      fleet.vms.get(name)!.permits.request(workspace.name).then(handleVerdict, () => {})
+    }
+    await new Promise(resolve => setImmediate(resolve))
+  }
+  return admitted.sort((a, b) => a - b)
+}
+
 function countBusiestWindow (admitted: readonly number[]): number {
   let most = 0
   for (let start = 0, end = 0; end < admitted.length; end++) {
@@ -177,6 +204,17 @@
     }
   })
 
+  for (const size of [12, 30, 76]) {
+    it(`hold in every window when one client on each of ${size} VMs begins to send without pause`, async () => {
+      for (let seed = 1; seed <= 3; seed++) {
+        for (const ratePerSecond of [80, 20, 10]) {
+          const workspace: Workspace = { name: 'w', keys: [], ratePerSecond, burst: ratePerSecond }
+          expect(countBusiestWindow(await simulatePress(size, workspace, seed)), `rate ${ratePerSecond}, seed ${seed}`).to.be.at.most(computeMaxPerWindow(workspace))
+        }
+      }
+    })
+  }
+
   it('let VMs that reach no counting VM admit most operations of workspaces below their limit, without exceeding a limit', async () => {
     const cutAtMs = 8_000
     const isCut = (nowMs: number): boolean => nowMs >= cutAtMs
