Accept no session in the second half of a stop's grace period

The load balancer uses stopping gateways while fewer than half are ready, so sessions began until 0.85 of the grace period. 50 ms later such a client was told that its session ends, and half of the little time that was left after that the connection was closed. A request that had crossed the notice arrived later, was read and dropped: its client had the error but not the READY that completes the response. The log said 'statement received after its session was closed'.

Once half of the grace period has passed, a startup is refused instead. A refusal ends the exchange, so nothing can cross it, and the client goes to another VM at once; a session that begins earlier has at least 0.35 of the grace period to be ended in. Longer close timeouts were ruled out: the process is killed at the end of the grace period.

The new tests of drain and session fail before, as there is no refuseStartup. Not measured: what the refusals cost near clients that a gateway could still have served in that half while all others stop as well.

--- a/packages/gateway/src/drain/drain.test.ts
+++ b/packages/gateway/src/drain/drain.test.ts
@@ -21,6 +21,7 @@
   timeoutMs = 0
   isTerminated = false
   isDestroyed = false
+  isStartupRefused = false
   get isBusy (): boolean { return this.activity === 'busy' || this.activity === 'inTransaction' }
   end ({ computeTimeoutMs }: { computeTimeoutMs: () => number }): void {
     if (this.isBusy) return
@@ -30,6 +31,7 @@
   }
 
   endTransaction (): void { if (this.activity === 'inTransaction') this.activity = 'idle' }
+  refuseStartup (): void { this.isStartupRefused = true }
   stopAdmission (): void { if (this.activity !== 'busy') this.isEnded ||= this.closesWhenTold }
   terminate (): void { this.isTerminated = true }
   destroy (): void { this.isDestroyed = this.isEnded = true }
@@ -53,6 +55,17 @@
 }
 
 describe('drain', () => {
+  it('accepts no session in the second half of the grace period', async () => {
+    const sessions = new Set([createSession({ activity: 'busy' })])
+    const late = [2_400, 3_600].map(() => createSession({ activity: 'notStarted' }))
+    await runStep(drainSessions, sessions, nowMs => {
+      if (nowMs === 2_400) sessions.add(late[0]!)
+      if (nowMs === 2_900) expect(late[0]!.isStartupRefused).to.equal(false)
+      if (nowMs === 3_600) sessions.add(late[1]!)
+    })
+    expect(late[1]!.isStartupRefused).to.equal(true)
+  })
+
   it('serves a client that connects shortly before the drain would have ended', async () => {
     const sessions = new Set<FakeSession>()
     const lateSession = new FakeSession()
--- a/packages/gateway/src/drain/drain.ts
+++ b/packages/gateway/src/drain/drain.ts
@@ -12,7 +12,10 @@
 const MIN_IDLE_BEFORE_END_MS = 50
 /** A connection that was opened less than this ago is not ended yet: its client is about to start its session. */
 const MIN_STARTUP_WAIT_MS = 300
-/** Fraction of the grace period within which open transactions may end by themselves. */
+/**
+ * Fraction of the grace period within which open transactions may end by themselves. No session begins after it, so that
+ * there is time to end it.
+ */
 const TRANSACTION_GRACE_FRACTION = 0.5
 /** Fraction of the grace period after which no operation begins any more. */
 const ADMISSION_FRACTION = 0.85
@@ -23,7 +26,7 @@
 const MIN_CLOSE_TIMEOUT_MS = 100
 const CHECK_INTERVAL_MS = 50
 
-type DrainedSession = Pick<ClientSession, 'activity' | 'isBusy' | 'idleMs' | 'end' | 'endTransaction' | 'stopAdmission' | 'terminate' | 'destroy'>
+type DrainedSession = Pick<ClientSession, 'activity' | 'isBusy' | 'idleMs' | 'end' | 'endTransaction' | 'refuseStartup' | 'stopAdmission' | 'terminate' | 'destroy'>
 
 export interface DrainOptions {
   clock: Clock
@@ -52,7 +55,12 @@
     if (sessions.length > 0) noSessionSinceMs = Math.max(noSessionSinceMs, clock.readNow())
     if (clock.readNow() - noSessionSinceMs >= NO_SESSION_GRACE_MS) break
     if (hasElapsed(BALANCER_REMOVAL_MS)) for (const s of sessions) if (s.isBusy || s.idleMs >= readMinIdleMs(s)) s.end(ending)
-    if (hasElapsed(graceMs * TRANSACTION_GRACE_FRACTION)) for (const s of sessions) s.endTransaction('the VM stops')
+    if (hasElapsed(graceMs * TRANSACTION_GRACE_FRACTION)) {
+      for (const s of sessions) {
+        s.refuseStartup(ending)
+        s.endTransaction('the VM stops')
+      }
+    }
     await pause(CHECK_INTERVAL_MS)
   }
   logger.info('drain finished', { left: listSessions().length, waitedFor: countByActivity(listSessions()), durationMs: Math.round(clock.readNow() - startedAtMs) })
--- a/packages/gateway/src/sessions/client-session.test.ts
+++ b/packages/gateway/src/sessions/client-session.test.ts
@@ -220,6 +220,21 @@
     session.handleClose()
   })
 
+  it('refuses a startup once no session may begin, and goes on with one that has begun', async () => {
+    const late = new RecordingTransport()
+    const lateSession = new ClientSession('late', createHost(async () => success), late)
+    lateSession.refuseStartup(ending)
+    lateSession.handleStartup('orders', 'k')
+    const { session, transport } = await startSession()
+    session.refuseStartup(ending)
+    session.handleStatement(writeStatement)
+    await waitForEventLoopTurn()
+    expect(late.sent).to.deep.equal(['refusal busy', 'close'])
+    expect(transport.sent).to.deep.equal([])
+    session.handleClose()
+    lateSession.handleClose()
+  })
+
   it('answers a startup whose admission was under way when its end was requested', async () => {
     const transport = new RecordingTransport()
     const session = new ClientSession('s', createHost(async () => success), transport)
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -44,6 +44,7 @@
   #ending: SessionEnding | null = null
   /** Whether operations that have not begun are refused with the error of `#ending`. */
   #isAdmissionStopped = false
+  #startupRefusal: ResponseError | null = null
   #isTerminating = false
   /** Whether the running statement may have reached an endpoint. */
   #isAdmitted = false
@@ -144,9 +145,15 @@
     if (!this.isBusy) this.#tellClient(this.#ending.error)
   }
 
+  /** Refuses the client's startup if it has not been answered yet. A client has nothing outstanding after a refusal, unlike after a notice. */
+  refuseStartup ({ error }: SessionEnding): void {
+    this.#startupRefusal = error
+  }
+
   /** Ends the session, and refuses operations that have not begun. A statement that is running is waited for; an open transaction is rolled back. */
   stopAdmission (ending: SessionEnding): void {
     this.#isAdmissionStopped = true
+    this.refuseStartup(ending)
     this.end(ending)
     this.endTransaction(ending.error.text)
     if (this.#hasStatements || this.#sessionState.transaction === 'idle') return
@@ -190,8 +197,8 @@
 
   #admitSession (configuration: Configuration | null): void {
     if (!this.#closer.isOpen) return
-    if (this.#isAdmissionStopped && this.#ending !== null) {
-      this.#transport.sendRefusal(this.#ending.error)
+    if (this.#startupRefusal !== null) {
+      this.#transport.sendRefusal(this.#startupRefusal)
       return this.#close('startupRefused')
     }
     const admission = configuration === null ? { error: { code: 'busy' as const, text: 'no configuration yet; retry after 1000 ms' } } : authenticate(configuration, this.#database, this.#key)
