--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import { SimulatedEndpoint } from '../testing/simulated-group.ts'
 import { SimulatedFleet, type SimulatedVm } from '../testing/simulated-vm.ts'
 import type { PromotionReason } from './decide-promotion.ts'
 
@@ -22,6 +23,64 @@
     expect(vm1.group.state.primary).to.deep.equal({ endpoint: 'a', term: 2 })
   })
 
+  it('remains possible if every VM has just started and no commit is known', async () => {
+    const vm = fleet.startVm('vm1')
+    vm.addEndpoints()
+    fleet.group.find('p').isRunning = false
+    const promoted = vm.promote('primary lost')
+    await fleet.advance(3_000)
+    expect(await promoted).to.equal('a')
+  })
+
+  it('remains possible right after both replicas were replaced one after the other', async () => {
+    const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+    for (const vm of [vm1, vm2]) vm.addEndpoints()
+    const { endpoints } = fleet.group
+    for (const [leaving, added] of [['a', 'c'], ['b', 'd']] as const) {
+      vm1.commit()
+      await fleet.advance(500)
+      endpoints.delete(leaving)
+      for (const vm of [vm1, vm2]) vm.group.removeEntry(leaving)
+      endpoints.set(added, new SimulatedEndpoint(added))
+      endpoints.get(added)!.startAgain()
+      for (const vm of [vm1, vm2]) vm.addEndpoints(added)
+      await fleet.advance(500)
+    }
+    vm1.commit()
+    await fleet.advance(100)
+    fleet.group.find('p').isRunning = false
+    const promoted = vm2.promote('primary lost')
+    await fleet.advance(3_000)
+    expect(await promoted).to.equal('c')
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
+  it('is not prevented by another VM that takes a fenced endpoint for the primary', async () => {
+    const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+    for (const vm of [vm1, vm2]) vm.addEndpoints()
+    vm1.commit()
+    vm2.commit()
+    await fleet.advance(50)
+    fleet.group.find('p').demote(2)
+    vm1.group.resetPrimary()
+    const promoted = vm1.promote('no primary')
+    await fleet.advance(3_000)
+    expect(await promoted).to.equal('p')
+  })
+
+  it('is cancelled if the VM learns of a later primary meanwhile', async () => {
+    const vm1 = fleet.startVm('vm1')
+    fleet.startVm('vm2').kill()
+    vm1.addEndpoints()
+    fleet.group.find('p').isRunning = false
+    const promoted = vm1.promote('primary lost')
+    await fleet.advance(900)
+    vm1.group.adoptPrimary('b', 2, 'test')
+    await fleet.advance(5_000)
+    expect(await promoted).to.equal(null)
+    expect(vm1.orders).to.deep.equal([])
+  })
+
   describe('by a VM that has not learned of an earlier promotion', () => {
     /** `p` has been replaced by `a`, which vm2 does not know. Clients of vm1 commit at `a` throughout, and the commits reach only one of `p` and `b`. */
     async function promoteWithStaleView (reason: PromotionReason, isolate: (vm1: SimulatedVm, vm2: SimulatedVm) => void): Promise<string | null> {
@@ -70,7 +129,7 @@
     }
   })
 
-  describe('whose claim lapsed while it waited for its order to take effect', () => {
+  describe('whose claim lapsed while it waited for its order to take effect and did not reach the store', () => {
     it('resumes no replica that a later promotion has paused', async () => {
       const [vm1, vm2, vm3] = ['vm1', 'vm2', 'vm3'].map(name => fleet.startVm(name)) as [SimulatedVm, SimulatedVm, SimulatedVm]
       for (const vm of [vm1, vm2, vm3]) vm.addEndpoints()
@@ -81,9 +140,11 @@
       const first = vm1.promote('primary lost')
       await fleet.advance(100)
       expect(await Promise.race([vm2.promote('primary lost'), fleet.advance(20)])).to.equal(null)
+      vm1.isStoreReachable = false
       await fleet.advance(4_000)
       vm1.connector.unreachable.add('a')
       const second = vm2.promote('primary lost')
+      vm1.isStoreReachable = true
       for (let i = 0; i < 100; i++) {
         vm3.commit()
         await fleet.advance(50)
@@ -94,6 +155,59 @@
     })
   })
 
+  describe('whose order takes effect late', () => {
+    it('keeps its claim meanwhile, so that no other VM promotes a second endpoint', async () => {
+      const [vm1, vm2, vm3, vm4] = ['vm1', 'vm2', 'vm3', 'vm4'].map(name => fleet.startVm(name)) as [SimulatedVm, SimulatedVm, SimulatedVm, SimulatedVm]
+      fleet.group.find('a').isDraining = true
+      vm1.addEndpoints()
+      fleet.group.find('a').isDraining = false
+      for (const vm of [vm2, vm3, vm4]) vm.addEndpoints()
+      vm3.commit()
+      await fleet.advance(50)
+      vm1.unreachableVms.add('vm4')
+      vm1.promotionDelayMs = 3_300
+      const first = vm1.promote('primary lost')
+      await fleet.advance(100)
+      fleet.group.find('a').isDeaf = true
+      let second: Promise<string | null> | undefined
+      for (let i = 0; i < 300; i++) {
+        if (vm2.group.state.primary?.endpoint === 'p') second ??= vm2.promote('primary lost').finally(() => { second = undefined })
+        if (fleet.group.leader?.endpoint === 'b') vm3.group.adoptPrimary('b', 2, 'test')
+        vm3.commit()
+        await fleet.advance(20)
+      }
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await first).to.equal('b')
+      expect(vm2.orders).to.deep.equal([])
+    })
+  })
+
+  describe('after an earlier attempt has resumed the replicas', () => {
+    it('pauses them again, even if they still report the term of the earlier pause', async () => {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      for (const e of fleet.group.endpoints.values()) e.keepsTermOfPause = true
+      vm1.commit()
+      await fleet.advance(50)
+      vm1.connector.unreachable.add('p')
+      vm1.losesOrders = true
+      const first = vm1.promote('primary lost')
+      await fleet.advance(5_000)
+      expect(await first).to.equal(null)
+      vm1.losesOrders = false
+      vm1.unreachableVms.add('vm2')
+      const second = vm1.promote('primary lost')
+      await fleet.advance(1_260)
+      fleet.group.find('a').isDeaf = true
+      for (let i = 0; i < 100; i++) {
+        vm2.commit()
+        await fleet.advance(20)
+      }
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await second).to.equal('a')
+    })
+  })
+
   describe('while a replica restarts without its log', () => {
     it('does not promote it on the strength of a position that it had before', async () => {
       const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
@@ -166,6 +280,19 @@
       expect(promoted).to.not.equal('a')
     })
 
+    it('promotes no replica that lacks such a commit after the VMs have restarted in turn', async () => {
+      await setUpDeparture(() => leave('b'))
+      for (const name of ['vm1', 'vm2']) {
+        fleet.vms.get(name)!.kill()
+        fleet.startVm(name).addEndpoints()
+        await fleet.advance(200)
+        fleet.exchangeReports()
+      }
+      const promoted = await crashAndPromote(fleet.vms.get('vm2')!)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(promoted).to.equal(null)
+    })
+
     it('promotes a replica that has received the rest of the log since then', async () => {
       const vm = await setUpDeparture(() => leave('b'))
       fleet.group.find('a').isDeaf = false
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -1,5 +1,5 @@
 import { comparePositions, describeError, type Clock, type Logger, type LogPosition } from '@camphorpitch/wire'
-import type { EndpointStatus } from '../backend/endpoint-connector.ts'
+import type { EndpointConnection, EndpointStatus } from '../backend/endpoint-connector.ts'
 import type { Promoter } from '../backend/promoter.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import { LEADER_LEASE_MS, type KnownPrimary } from '../freshness/group-state.ts'
@@ -114,11 +114,11 @@
   const isPlanned = reason === 'primary draining'
   await updateTerm(attempt)
   const pendingRevocation = host.revoke(group, attempt.term, isPlanned, isPlanned ? PLANNED_REVOKE_TIMEOUT_MS : REVOKE_TIMEOUT_MS)
-  if (isPlanned) await pendingRevocation
+  if (isPlanned) ensureLatestPrimary(attempt, (await pendingRevocation).latestPrimary)
   let fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
   const fencedAtMs = host.clock.readNow()
   const revocation = await pendingRevocation
-  ensureLatestPrimary(attempt, revocation.latestPrimary)
+  ensureLatestPrimary(attempt, revocation.latestPrimary, fenced)
   if (!revocation.hasEveryVmConfirmed) {
     await waitForLeases(attempt, fencedAtMs)
     fenced = await verifyFence(attempt, fenced)
@@ -128,6 +128,7 @@
   const candidate = pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas, departures })
   host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: fenced.endpoints, unfencedReplicas, unknownReplicas, departures, acknowledged: revocation.acknowledged, hasEveryVmConfirmed: revocation.hasEveryVmConfirmed, hasEveryAcknowledgement: revocation.hasEveryAcknowledgement })
   if (candidate === undefined) return null
+  ensureLatestPrimary(attempt, group.state.primary, fenced)
   return await requestPromotion(attempt, candidate.endpoint)
 }
 
@@ -156,22 +157,42 @@
 function ensureNotReplaced ({ group, term, knownPrimary, oldPrimary }: Attempt, statuses: readonly EndpointResult[]): void {
   const leading = statuses.find(({ entry, status }) => status.role === 'primary' && status.term > (knownPrimary?.term ?? 0) && (entry !== oldPrimary || status.term >= term))
   if (leading !== undefined) group.adoptPrimary(leading.entry.endpoint, leading.status.term, 'promotion attempt')
-  const newer = statuses.find(({ status }) => status.pausedForTerm > term || (status.term >= term && status.pausedForTerm < term))
+  const newer = statuses.find(({ status }) => isNewer(status, term))
   if (leading === undefined && newer === undefined) return
   if (leading === undefined && group.state.primary?.term === knownPrimary?.term) group.resetPrimary()
   const { entry, status } = leading ?? newer!
   throw new Error(`the primary to be replaced no longer leads: ${entry.endpoint} reports role ${status.role}, term ${status.term}, paused for term ${status.pausedForTerm}; this attempt has term ${term}`)
 }
 
+/** Whether an endpoint has a term that fencing at `term` does not affect. A term that it was only paused for does not count. */
+function isNewer (status: EndpointStatus, term: number): boolean {
+  return status.term >= term && status.term > status.pausedForTerm
+}
+
+/**
+ * Pauses a replica at `term` or a later one. A pause takes effect only above the term of an earlier one, which the replica may still
+ * report although it was resumed.
+ *
+ * @returns its status, before the pause if it is none or has a newer term
+ */
+async function pauseReplica (connection: EndpointConnection, term: number): Promise<EndpointStatus | null> {
+  const before = await connection.readStatus()
+  if (before === null || before.role === 'primary' || isNewer(before, term)) return before
+  return await connection.pause(Math.max(term, before.pausedForTerm + 1))
+}
+
 /**
- * Checks that no VM knows a later primary than the one to be replaced, and records it otherwise.
+ * Checks that `latest`, which this or another VM takes for the primary, is not a later one than that to be replaced. Records it otherwise.
+ * A replica that this attempt has fenced does not lead.
  *
- * @throws Error if one does
+ * @throws Error if it is later
  */
-function ensureLatestPrimary ({ group, knownPrimary }: Attempt, latest: KnownPrimary | null): void {
+function ensureLatestPrimary ({ group, knownPrimary, term }: Attempt, latest: KnownPrimary | null, fenced?: FencedGroup): void {
   if (latest === null || latest.endpoint === knownPrimary?.endpoint || latest.term <= (knownPrimary?.term ?? 0)) return
+  const isFenced = fenced?.endpoints.some(f => f.endpoint === latest.endpoint && !f.isOldPrimary) === true
+  if (isFenced && latest.term < term) return
   group.adoptPrimary(latest.endpoint, latest.term, 'promotion attempt')
-  throw new Error(`the primary to be replaced no longer leads: another VM knows ${latest.endpoint} as primary of term ${latest.term}`)
+  throw new Error(`the primary to be replaced no longer leads: a VM knows ${latest.endpoint} as primary of term ${latest.term}`)
 }
 
 /**
@@ -208,7 +229,7 @@
   const { host, replicas, term } = attempt
   const pendingDemotion = demoteOldPrimary(attempt)
   pendingDemotion.catch(() => {}) // Its result is needed only if a replica could not be paused.
-  const paused = await runOnAll(attempt, replicas, async c => await c.pause(term))
+  const paused = await runOnAll(attempt, replicas, async c => await pauseReplica(c, term))
   ensureNotReplaced(attempt, paused)
   const isPaused = (s: EndpointStatus): boolean => s.role === 'replica' && s.pausedForTerm >= term
   const endpoints = paused.filter(({ status }) => isPaused(status)).map(({ entry, status }) => describeFenced(entry, status, false))
@@ -305,7 +326,12 @@
   return await waitForEffect(attempt, endpoint)
 }
 
-/** Polls the endpoint until it reports that it is primary. @returns `null` if it did not in time */
+/**
+ * Polls the endpoint until it reports that it is primary. Keeps the claim meanwhile, so that no other VM promotes a second endpoint while
+ * this order may still take effect.
+ *
+ * @returns `null` if it did not in time
+ */
 async function waitForEffect (attempt: Attempt, endpoint: string): Promise<string | null> {
   const { host, group, replicas, oldPrimary } = attempt
   const entry = [...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].find(e => e.endpoint === endpoint)
@@ -313,6 +339,7 @@
   if (entry === undefined) return null
   while (host.clock.readNow() < deadlineMs) {
     await waitFor(STATUS_INTERVAL_MS)
+    await updateClaim(attempt)
     const sentAtMs = host.clock.readNow()
     const [known] = await runOnAll(attempt, [entry], async c => await c.readStatus())
     if (known?.status.role !== 'primary') continue
@@ -331,30 +358,42 @@
 async function finishAttempt (attempt: Attempt, promoted: string | null): Promise<void> {
   const { host, group, replicas, oldPrimary, term } = attempt
   if (promoted !== null) host.publishOutcome(group, promoted, term, attempt.leadershipVerifiedAtMs)
-  const claim = await claimAgain(attempt)
-  if (claim === null) return
+  if (!await ensureClaim(attempt)) return
   if (promoted === null) host.publishOutcome(group, null, term, attempt.leadershipVerifiedAtMs)
   const others = replicas.filter(e => e.endpoint !== promoted)
   await runOnAll(attempt, others, async c => await c.resume())
   if (oldPrimary !== undefined && promoted !== null && promoted !== oldPrimary.endpoint) await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
-  await host.claims.release(claim)
+  await host.claims.release(attempt.claim)
 }
 
-/** Claims the duty again if the attempt's claim has expired. @returns `null` if another VM holds it, or the store has not responded for some seconds */
-async function claimAgain ({ host, group, claim }: Attempt): Promise<Claim | null> {
-  if (host.claims.isUsable(claim)) return claim
+/** Claims the duty again if the attempt's claim has expired. @returns whether this VM holds it; `undefined` if the store did not respond */
+async function updateClaim (attempt: Attempt): Promise<boolean | undefined> {
+  const { host, group } = attempt
+  if (host.claims.isUsable(attempt.claim)) return true
+  try {
+    const renewed = await host.claims.claim(group.service)
+    attempt.claim = renewed ?? attempt.claim
+    return renewed !== null
+  } catch (error) {
+    host.logger.info('renewal of the failover claim failed', { service: group.service, reason: describeError(error) })
+    return undefined
+  }
+}
+
+/** Ensures that this VM holds the claim; retries for some seconds while the store does not respond. @returns whether it does */
+async function ensureClaim (attempt: Attempt): Promise<boolean> {
+  const { host, group } = attempt
   for (let attempts = 1; attempts <= MAX_RENEWAL_ATTEMPTS; attempts++) {
-    try {
-      const renewed = await host.claims.claim(group.service)
-      if (renewed === null) host.logger.warn('replicas not resumed, another VM holds the failover claim', { service: group.service })
-      return renewed
-    } catch (error) {
-      host.logger.info('renewal of the failover claim failed', { service: group.service, reason: describeError(error) })
-      await waitFor(RENEWAL_RETRY_DELAY_MS)
+    const isHeld = await updateClaim(attempt)
+    if (isHeld === true) return true
+    if (isHeld === false) {
+      host.logger.warn('replicas not resumed, another VM holds the failover claim', { service: group.service })
+      return false
     }
+    await waitFor(RENEWAL_RETRY_DELAY_MS)
   }
   host.logger.warn('replicas not resumed, the failover claim has expired and the store does not respond', { service: group.service })
-  return null
+  return false
 }
 
 interface EndpointResult { entry: EndpointEntry, status: EndpointStatus }
