Play promotions in random histories in which the store returns from older copies

Each simulated VM now has its own access to the store, so that VMs learn of an epoch one after the other, and asks the others about claims.

--- a/packages/gateway/src/failover/promotion-histories.test.ts
+++ b/packages/gateway/src/failover/promotion-histories.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { SimulatedEndpoint } from '../testing/simulated-group.ts'
+import type { StoreCopy } from '../testing/memory-store.ts'
 import { SimulatedFleet, type SimulatedVm } from '../testing/simulated-vm.ts'
 import type { PromotionReason } from './decide-promotion.ts'
 
@@ -7,6 +8,8 @@
 const [FIRST_SEED = 1, LAST_SEED = 12] = process.env.PROMOTION_SEEDS?.split('-').map(Number) ?? []
 const STEP_MS = 50
 const STEPS = 600
+/** Oldest copy from which the store returns, in steps. */
+const MAX_COPY_AGE_STEPS = 100
 const REASONS: PromotionReason[] = ['primary lost', 'primary lost', 'primary draining', 'primary cut off from its replicas', 'no primary']
 
 /** One history of random faults: three endpoints, three VMs whose views differ, commits and promotions throughout. */
@@ -16,8 +19,11 @@
   /** VMs that have an attempt running. */
   readonly #promoting = new Set<SimulatedVm>()
   #joined = 0
+  readonly #hasStoreReturns: boolean
+  readonly #copies: StoreCopy[] = []
 
-  constructor (seed: number) {
+  constructor (seed: number, { hasStoreReturns = false } = {}) {
+    this.#hasStoreReturns = hasStoreReturns
     this.fleet = new SimulatedFleet(['p', 'a', 'b'], seed)
     for (const name of ['vm1', 'vm2', 'vm3']) this.fleet.startVm(name).addEndpoints()
   }
@@ -39,6 +45,7 @@
     }
     this.#changeEndpoints()
     this.#changeVms()
+    if (this.#hasStoreReturns) this.#changeStore()
     await this.fleet.advance(STEP_MS)
   }
 
@@ -93,6 +100,16 @@
     this.#tellVms(vm => { if (endpoints.has(added.endpoint)) vm.addEndpoints(added.endpoint) })
   }
 
+  /** Has the store return from older copies; the VMs learn of it one after the other. */
+  #changeStore (): void {
+    const { store, vms } = this.fleet
+    this.#copies.push(store.createCopy())
+    if (this.#copies.length > MAX_COPY_AGE_STEPS) this.#copies.shift()
+    if (this.#draw(0.015)) store.restore(this.#pick(this.#copies))
+    if (this.#draw(0.3)) store.replace('endpoints', 'heartbeat', {})
+    for (const vm of vms.values()) if (this.#draw(0.15)) vm.readStore()
+  }
+
   #changeVms (): void {
     const { fleet } = this
     const vm = this.#pick(fleet.vms.values())
@@ -122,3 +139,22 @@
 
   it('take place in them', () => expect(promotions).to.be.at.least(LAST_SEED - FIRST_SEED + 1))
 })
+
+describe('promotions in random histories of faults in which the store returns from older copies', () => {
+  let promotions = 0
+  let returns = 0
+  for (let seed = FIRST_SEED; seed <= LAST_SEED; seed++) {
+    it(`lose no acknowledged commit and send no token twice or after a higher one, seed ${seed}`, async () => {
+      const history = new History(seed, { hasStoreReturns: true })
+      await history.run()
+      promotions += history.promotions
+      returns += history.fleet.store.state.epoch
+      expect([...history.fleet.group.lost, ...history.fleet.brokenOrders]).to.deep.equal([])
+    })
+  }
+
+  it('take place in them', () => {
+    expect(promotions).to.be.at.least(LAST_SEED - FIRST_SEED + 1)
+    expect(returns).to.be.at.least(LAST_SEED - FIRST_SEED + 1)
+  })
+})
--- a/packages/gateway/src/testing/memory-store.ts
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -136,19 +136,19 @@
   }
 
   override async list<K extends ObjectKind> (kind: K): Promise<Listing<ObjectKinds[K]>> {
-    const asOf = this.#beginCall()
+    const asOf = this.beginCall()
     const objects = [...this.state.objects].filter(([key]) => key.startsWith(`${kind}/`)).map(([, o]) => o)
     await this.#deliver(asOf)
     return { items: objects.map(o => describeObject(o, asOf.epoch)) as Array<StoredObject<ObjectKinds[K]>>, asOf }
   }
 
   override async watch<K extends ObjectKind> (kind: K, since: Revision, waitMs: number): Promise<Changes<ObjectKinds[K]>> {
-    const { epoch } = this.#beginCall()
+    const { epoch } = this.beginCall()
     const isGone = (): boolean => since.number < this.state.oldestWatchableRevision || since.number > this.state.revision
     const listChanges = (): StoredChange[] => this.state.history.filter(h => h.kind === kind && h.number > since.number)
     if (!isGone() && listChanges().length === 0) await this.state.waitForChange(waitMs)
     if (this.state.epoch !== epoch) throw new MetadataError('the metadata store closed the connection')
-    const asOf = this.#beginCall()
+    const asOf = this.beginCall()
     const isHistoryGone = isGone()
     const changes: Array<Change<unknown>> = listChanges().map(({ object, isRemoved }) => ({ object: describeObject(object, asOf.epoch), isRemoved }))
     await this.#deliver(asOf)
@@ -157,14 +157,14 @@
   }
 
   override async find (kind: WritableKind, name: string): Promise<StoredObject<unknown> | undefined> {
-    const asOf = this.#beginCall()
+    const asOf = this.beginCall()
     const object = this.state.objects.get(`${kind}/${name}`)
     await this.#deliver(asOf)
     return object === undefined ? undefined : describeObject(object, asOf.epoch)
   }
 
   protected override async sendWrite (kind: WritableKind, name: string, value: unknown, number: number | null): Promise<Revision> {
-    this.#beginCall()
+    this.beginCall()
     if (this.delaysWrites) {
       this.#delayedWrites.push(() => { if (this.state.isConditionMet({ kind, name, number })) this.replace(kind, name, value) })
       throw new MetadataError('the response to the write was lost')
@@ -178,7 +178,7 @@
   }
 
   protected override async sendDelete (kind: WritableKind, name: string, number: number): Promise<void> {
-    this.#beginCall()
+    this.beginCall()
     const isMet = this.state.isConditionMet({ kind, name, number })
     if (isMet) this.remove(kind, name)
     await this.#deliver(this.#readRevision())
@@ -186,7 +186,7 @@
   }
 
   /** Counts a call, and rejects it if the store is down. @returns the store's revision */
-  #beginCall (): Revision {
+  protected beginCall (): Revision {
     this.callCount++
     if (this.isDown) throw new MetadataError('the metadata store is down')
     return this.#readRevision()
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -2,6 +2,7 @@
 import { EndpointConnector } from '../backend/endpoint-connector.ts'
 import { Promoter, type PromotionOrder, type PromotionResult } from '../backend/promoter.ts'
 import type { PromotionReason } from '../failover/decide-promotion.ts'
+import { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import { ControlConnections } from '../failover/control-connections.ts'
 import { DutyClaims } from '../failover/duty-claim.ts'
 import { runPromotion, type PromotionHost } from '../failover/run-promotion.ts'
@@ -11,8 +12,8 @@
 import { isLeadershipRevoked } from '../freshness/group-state.ts'
 import { ServiceGroup } from '../groups/service-group.ts'
 import { MetadataError } from '../metadata/errors.ts'
-import type { MetadataStore } from '../metadata/metadata-store.ts'
-import { MemoryStore } from './memory-store.ts'
+import type { Revision } from '../metadata/revision.ts'
+import { MemoryStore, type MemoryStoreState } from './memory-store.ts'
 import { SimulatedConnector, SimulatedGroup } from './simulated-group.ts'
 import { VirtualTime } from './virtual-time.ts'
 
@@ -25,6 +26,9 @@
   readonly store = new MemoryStore()
   readonly group: SimulatedGroup
   readonly vms = new Map<string, SimulatedVm>()
+  /** Descriptions of promotion orders whose fencing token is lower than an earlier one, or that of another VM. */
+  readonly brokenOrders: string[] = []
+  #latestOrder: PromotionOrder | undefined
   readonly random: () => number
   readonly logger: Logger
 
@@ -54,6 +58,14 @@
     }
   }
 
+  /** Records an order that reaches the platform. */
+  recordOrder (order: PromotionOrder): void {
+    const latest = this.#latestOrder
+    const isBroken = latest !== undefined && (order.fencingToken < latest.fencingToken || (order.fencingToken === latest.fencingToken && order.holder !== latest.holder))
+    if (isBroken) this.brokenOrders.push(`${order.holder} sent token ${order.fencingToken} after ${latest.holder} had sent ${latest.fencingToken}`)
+    else this.#latestOrder = order
+  }
+
   /** Has every VM receive the reports of the others. */
   exchangeReports (): void {
     for (const vm of this.vms.values()) vm.pollOthers()
@@ -77,16 +89,20 @@
   readonly #fleet: SimulatedFleet
   readonly #host: PromotionHost
   readonly #handler: FleetMessageHandler
+  readonly #store: MemoryStore
 
   constructor (fleet: SimulatedFleet, name: string) {
     const { time, logger } = fleet
     this.name = name
     this.#fleet = fleet
     this.members = createMemberState({ vm: name, host: '127.0.0.1', port: 1, failureDomain: 'north', region: 'r', incarnation: Date.now() })
+    this.members.hasMemberList = true
     this.connector = new SimulatedConnector(fleet.group)
     this.group = new ServiceGroup({ service: 's', connector: new IdleConnector(), clock: time, logger, readLimits: () => ({ retainedConnections: 0, maxOpenConnections: 0 }), recordOpened: () => {} })
-    this.#handler = this.#createHandler()
-    const claims = new DutyClaims({ store: this.#createStore(), clock: time, logger, vm: name, incarnation: this.members.self.incarnation })
+    this.#store = new SimulatedStore(fleet.store.state, () => this.isRunning && this.isStoreReachable)
+    const inquiries: ClaimInquiries = new ClaimInquiries({ store: this.#store, clock: time, members: this.members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => this.#send(vm, message) })
+    const claims: DutyClaims = new DutyClaims({ store: this.#store, clock: time, logger, vm: name, incarnation: this.members.self.incarnation, confirmNoClaims: async (service, epoch) => await inquiries.confirmNoClaims(service, epoch) })
+    this.#handler = this.#createHandler(inquiries)
     const promoter = new SimulatedPromoter(fleet, this)
     this.#host = { clock: time, logger: logger.child({ vm: name }), vm: name, control: new ControlConnections(this.connector), claims, promoter, ...this.#handler.createPromotionCallbacks() }
   }
@@ -158,27 +174,34 @@
     }, MESSAGE_DELAY_MS)
   }
 
-  #createHandler (): FleetMessageHandler {
+  #createHandler (inquiries: ClaimInquiries): FleetMessageHandler {
     const { time, logger } = this.#fleet
     const quotas = { createDemandReport: () => [], recordVmDemand: () => {} }
     const options = { clock: time, logger, self: this.members.self, configuration: { subscribe: () => {}, version: 0, current: null }, groups: { find: () => this.group, list: () => [this.group] }, quotas, members: this.members, quotaRecord: {} }
     const handler = new FleetMessageHandler(options as unknown as FleetMessageHandlerOptions)
     const [fleet, failover, permits] = [{ send: (vm: string, message: FleetMessage) => this.#send(vm, message), poll: () => {} }, { recordPrimaryChange: () => {} }, {}]
-    handler.connect(fleet as never, failover as never, permits as never)
+    handler.connect(fleet as never, failover as never, permits as never, inquiries)
     return handler
   }
 
-  /** Creates the VM's access to the fleet's store, which ends when the VM stops. */
-  #createStore (): MetadataStore {
-    const { store } = this.#fleet
-    const ensureRunning = (): void => { if (!this.isRunning || !this.isStoreReachable) throw new MetadataError('the VM does not reach the store') }
-    const access: Pick<MetadataStore, 'epochs' | 'find' | 'list' | 'write'> = {
-      epochs: store.epochs,
-      list: async kind => { ensureRunning(); return await store.list(kind) },
-      find: async (kind, name) => { ensureRunning(); return await store.find(kind, name) },
-      write: async (kind, name, value, revision) => { ensureRunning(); return await store.write(kind, name, value, revision) }
-    }
-    return access as MetadataStore
+  /** Has the VM learn the store's epoch, as its watches do. */
+  readStore (): void {
+    this.#store.list('vms').catch(() => {}) // A VM that has stopped learns nothing.
+  }
+}
+
+/** A VM's access to the fleet's store, while it runs and reaches the store. */
+class SimulatedStore extends MemoryStore {
+  readonly #canReach: () => boolean
+
+  constructor (state: MemoryStoreState, canReach: () => boolean) {
+    super(state)
+    this.#canReach = canReach
+  }
+
+  protected override beginCall (): Revision {
+    if (!this.#canReach()) throw new MetadataError('the VM does not reach the store')
+    return super.beginCall()
   }
 }
 
@@ -198,6 +221,7 @@
       await new Promise(resolve => setTimeout(resolve, timeoutMs))
       return 'unknown'
     }
+    this.#fleet.recordOrder(order)
     const orderedAtMs = Date.now()
     setTimeout(() => this.#fleet.group.promote(order.endpoint, orderedAtMs), this.#vm.promotionDelayMs)
     return 'accepted'
