Leave the fleet only after the last statement of a stop has ended

A stopping VM told the others that it leaves while its sessions still ran. A promotion then neither asked it for its acknowledged position nor waited for its lease: commits acknowledged after that could be missed, and a read still pending run at the old primary. Found in review. The test failed before: the entry was removed ahead of the end of the sessions. Other VMs are told even if the sessions used all the time of the stop.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -38,6 +38,8 @@
 const CONFIGURATION_COALESCE_MS = 1_000
 /** Interval at which lapsed endpoints are removed and connection pools adjusted. */
 const MAINTENANCE_INTERVAL_MS = 500
+/** Time for the other VMs to be told that this one leaves, although its sessions used all the time of the stop. */
+const MIN_LEAVE_MS = 50
 const MS_PER_SECOND = 1_000
 
 /** The implementations that connect a gateway to its clients, to the endpoints and to the platform. */
@@ -124,9 +126,10 @@
         'sessions ended': async () => {
           await adapters.listener.stop()
           await finishSessions(stop)
-        },
-        'fleet left': async () => await fleet.stop()
+        }
       })
+      // Other VMs neither ask a VM that has left about its reads and commits nor wait for its leases.
+      await runStopSteps(stop, { 'fleet left': async () => await fleet.stop() }, { minMs: MIN_LEAVE_MS })
       await runStopSteps(stop, { 'links closed': async () => await network.stop() })
       for (const session of sessions) session.recordEnd('processExit')
       logger.info('stopped', { sinceStopMs: Math.round(clock.readNow() - stop.startedAtMs) })
