Give sessions that end late in a stop the time that is left

From 0.85 of the grace period on a session kept the ending that the drain had given it, whose time was over, and its connection was closed 100 ms after the notice, although 0.93 is the end. Found in review, by reading; the existing tests of sessions pass, none showed it.

--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -156,6 +156,7 @@
   /** Ends the session, and refuses operations that have not begun. A statement that is running is waited for; an open transaction is rolled back. */
   stopAdmission (ending: SessionEnding): void {
     this.#isAdmissionStopped = true
+    this.#ending = ending
     this.refuseStartup(ending)
     this.end(ending)
     this.endTransaction(ending.error.text)
