--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -55,6 +55,24 @@
     expect(fleet.group.lost).to.deep.equal([])
   })
 
+  it('remains possible after an attempt whose order was lost and that had the primary step down, while a replica is silent', async () => {
+    const vm = fleet.startVm('vm1')
+    vm.addEndpoints()
+    vm.commit()
+    await fleet.advance(100)
+    fleet.group.find('b').isRunning = false
+    vm.losesOrders = true
+    const failed = vm.promote('primary cut off from its replicas')
+    await fleet.advance(12_000)
+    expect(await failed).to.equal(null)
+    vm.losesOrders = false
+    const promoted = vm.promote('primary cut off from its replicas')
+    await fleet.advance(12_000)
+    expect(await promoted).not.to.equal(null)
+    expect(fleet.group.lost).to.deep.equal([])
+    expect([...fleet.group.endpoints.values()].filter(e => e.isPaused && e.isRunning)).to.deep.equal([])
+  })
+
   it('is not prevented by another VM that takes a fenced endpoint for the primary', async () => {
     const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
     for (const vm of [vm1, vm2]) vm.addEndpoints()
