--- a/packages/gateway/src/drain/drain.ts
+++ b/packages/gateway/src/drain/drain.ts
@@ -13,8 +13,8 @@
 /** A connection that was opened less than this ago is not ended yet: its client is about to start its session. */
 const MIN_STARTUP_WAIT_MS = 300
 /**
- * Fraction of the grace period within which open transactions may end by themselves. No session begins after it, so that
- * there is time to end it.
+ * Fraction of the grace period within which open transactions may end by themselves. Connections that have not started a
+ * session at a check after it are refused, so that there is time to end those that have.
  */
 const TRANSACTION_GRACE_FRACTION = 0.5
 /** Fraction of the grace period after which no operation begins any more. */
