--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -73,6 +73,47 @@
     expect([...fleet.group.endpoints.values()].filter(e => e.isPaused && e.isRunning)).to.deep.equal([])
   })
 
+  it('loses no commit that a replica acknowledges although its entry has lapsed', async () => {
+    const vm = fleet.startVm('vm1')
+    vm.addEndpoints()
+    vm.commit()
+    await fleet.advance(100)
+    vm.group.removeEntry('a')
+    vm.commit()
+    await fleet.advance(100)
+    fleet.group.find('b').isDeaf = true
+    vm.commit()
+    await fleet.advance(100)
+    fleet.group.find('p').isRunning = false
+    const promoted = vm.promote('primary lost')
+    await fleet.advance(5_000)
+    await promoted
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
+  it('remains possible if a replica was replaced and a VM has restarted while nothing was sent to the primary', async () => {
+    const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+    for (const vm of [vm1, vm2]) vm.addEndpoints()
+    const { endpoints } = fleet.group
+    vm1.commit()
+    await fleet.advance(500)
+    endpoints.delete('a')
+    for (const vm of [vm1, vm2]) vm.group.removeEntry('a')
+    endpoints.set('c', new SimulatedEndpoint('c'))
+    endpoints.get('c')!.startAgain()
+    for (const vm of [vm1, vm2]) vm.addEndpoints('c')
+    await fleet.advance(500)
+    vm2.kill()
+    fleet.startVm('vm2').addEndpoints()
+    await fleet.advance(15_000)
+    fleet.exchangeReports()
+    fleet.group.find('p').isRunning = false
+    const promoted = vm1.promote('primary lost')
+    await fleet.advance(5_000)
+    expect(await promoted).not.to.equal(null)
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
   it('is not prevented by another VM that takes a fenced endpoint for the primary', async () => {
     const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
     for (const vm of [vm1, vm2]) vm.addEndpoints()
--- a/packages/gateway/src/limits/permit-requests.test.ts
+++ b/packages/gateway/src/limits/permit-requests.test.ts
@@ -205,14 +205,14 @@
   })
 
   for (const size of [12, 30, 76]) {
-    it(`hold in every window when one client on each of ${size} VMs begins to send without pause`, async () => {
+    for (const ratePerSecond of [80, 20, 10]) {
       for (let seed = 1; seed <= 3; seed++) {
-        for (const ratePerSecond of [80, 20, 10]) {
+        it(`hold in every window when one client on each of ${size} VMs begins to send without pause, rate ${ratePerSecond}, seed ${seed}`, async () => {
           const workspace: Workspace = { name: 'w', keys: [], ratePerSecond, burst: ratePerSecond }
-          expect(countBusiestWindow(await simulatePress(size, workspace, seed)), `rate ${ratePerSecond}, seed ${seed}`).to.be.at.most(computeMaxPerWindow(workspace))
-        }
+          expect(countBusiestWindow(await simulatePress(size, workspace, seed))).to.be.at.most(computeMaxPerWindow(workspace))
+        })
       }
-    })
+    }
   }
 
   it('let VMs that reach no counting VM admit most operations of workspaces below their limit, without exceeding a limit', async () => {
--- a/packages/gateway/src/limits/quota.test.ts
+++ b/packages/gateway/src/limits/quota.test.ts
@@ -226,16 +226,16 @@
     })
   }
 
-  it('holds in every window when every VM is killed 200 ms after a calm workspace is pressed without pause, with 20 seeds', () => {
-    const pressed: Workspace = { name: 'pressed', keys: [], ratePerSecond: 20, burst: 20 }
-    for (const vms of [2, 4, 9]) {
+  for (const vms of [2, 4, 9]) {
+    it(`holds in every window when every one of ${vms} VMs is killed 200 ms after a calm workspace is pressed without pause, with 20 seeds`, () => {
+      const pressed: Workspace = { name: 'pressed', keys: [], ratePerSecond: 20, burst: 20 }
       for (let seed = 1; seed <= 20; seed++) {
         const readRatePerSecond = (nowMs: number): number => nowMs < 7_800 ? 1 : 400 * vms
         const { admitted } = simulateLoad({ vms, workspace: pressed, readRatePerSecond, parts: () => Array(vms).fill(1 / vms), restartAtMs: 8_000, restoresRecord: true, durationMs: 16_000 }, seed)
-        expect(countBusiestWindow(admitted), `${vms} VMs, seed ${seed}`).to.be.at.most(computeMaxPerWindow(pressed))
+        expect(countBusiestWindow(admitted), `seed ${seed}`).to.be.at.most(computeMaxPerWindow(pressed))
       }
-    }
-  })
+    })
+  }
 
   it('admits nearly all operations of a workspace that stays within its rate', () => {
     const { admitted, requested } = simulateLoad({ vms: 8, workspace, readRatePerSecond: () => 30, parts: () => unevenFractions, durationMs: 30_000 }, 4)
