--- a/packages/gateway/src/drain/drain.test.ts
+++ b/packages/gateway/src/drain/drain.test.ts
@@ -55,7 +55,7 @@
 }
 
 describe('drain', () => {
-  it('accepts no session in the second half of the grace period', async () => {
+  it('refuses connections that have not started a session in the second half of the grace period', async () => {
     const sessions = new Set([createSession({ activity: 'busy' })])
     const late = [2_400, 3_600].map(() => createSession({ activity: 'notStarted' }))
     await runStep(drainSessions, sessions, nowMs => {
