--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -341,7 +341,8 @@
 async function waitForEffect (attempt: Attempt, endpoint: string): Promise<string | null> {
   const { host, group, replicas, oldPrimary } = attempt
   const entry = [...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].find(e => e.endpoint === endpoint)
-  const deadlineMs = host.clock.readNow() + PROMOTION_EFFECT_TIMEOUT_MS
+  const requestedAtMs = host.clock.readNow()
+  const deadlineMs = requestedAtMs + PROMOTION_EFFECT_TIMEOUT_MS
   if (entry === undefined) return null
   while (host.clock.readNow() < deadlineMs) {
     await waitFor(STATUS_INTERVAL_MS)
@@ -349,11 +350,12 @@
     const sentAtMs = host.clock.readNow()
     const [known] = await runOnAll(attempt, [entry], async c => await c.readStatus())
     if (known?.status.role !== 'primary') continue
-    host.logger.warn('promotion took effect', { service: group.service, endpoint, term: known.status.term })
+    host.logger.warn('promotion took effect', { service: group.service, endpoint, term: known.status.term, received: known.status.received, orderAgeMs: Math.round(host.clock.readNow() - requestedAtMs) })
     attempt.term = known.status.term
     attempt.leadershipVerifiedAtMs = sentAtMs
     return endpoint
   }
+  host.logger.warn('promotion order has not taken effect in time', { service: group.service, endpoint, orderAgeMs: Math.round(host.clock.readNow() - requestedAtMs) })
   return null
 }
 
@@ -365,7 +367,10 @@
   const { host, group, replicas, oldPrimary, term } = attempt
   if (promoted !== null) host.publishOutcome(group, promoted, term, attempt.leadershipVerifiedAtMs)
   if (!await ensureClaim(attempt)) return
-  if (promoted === null) host.publishOutcome(group, null, term, attempt.leadershipVerifiedAtMs)
+  if (promoted === null) {
+    host.logger.warn('promotion attempt ended without a promotion, revocation ended and replicas resumed', { service: group.service, term })
+    host.publishOutcome(group, null, term, attempt.leadershipVerifiedAtMs)
+  }
   const others = replicas.filter(e => e.endpoint !== promoted)
   await runOnAll(attempt, others, async c => await c.resume())
   if (oldPrimary !== undefined && promoted !== null && promoted !== oldPrimary.endpoint) await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
