Never abandon a promotion order that may still take effect

Cause: an attempt waited 3.5 s for the effect of its order, then resumed the replicas and ended the revocation; a revocation also ended by itself after 5 s. Neither calls the order back, and a call without an answer was treated alike. Commits were then acknowledged by whichever replica was first, and the order took effect on an endpoint that lacked some of them. A VM that died after its order left no trace of it.

The order is now recorded in the claim's object before it is sent. Right before the order is sent, its endpoint must still hold its log and the others their pause. After a wait for leases, a replica that was not paused any more is no longer taken for fenced on the strength of the pause that the check itself sends; the wait begins again.

Ruled out: ending the order with the claim (the platform does not check tokens); promoting another endpoint instead (both may take effect).

The test of an order that takes effect late failed before: `a lacks 1.101, 1.102, 1.103, 1.104, 1.105, 1.106`.

--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -13,13 +13,25 @@
 /** Number of fencing tokens per epoch of the store; larger than any revision number. */
 const TOKENS_PER_EPOCH = 10_000_000_000
 
+const orderSchema = z.object({
+  endpoint: z.string(),
+  /** Start of the endpoint; once it has started again, the order no longer takes effect. */
+  startedAtMs: z.number(),
+  /** Term at which the group was fenced when the endpoint was chosen. */
+  term: z.number()
+})
+
 const claimSchema = z.object({
   holder: z.string().nullable(),
   incarnation: z.number(),
   /** Epoch of the store in which the claim was written, as far as its holder knew. */
-  epoch: z.number().default(0)
+  epoch: z.number().default(0),
+  order: orderSchema.nullable().default(null)
 })
 
+/** A promotion order that may have been sent and may still take effect. */
+export type OpenOrder = z.infer<typeof orderSchema>
+
 /** The right of one VM to change the primary of a service. Lapses after `CLAIM_VALID_MS`, or when the store's epoch changes. */
 export interface Claim {
   service: string
@@ -28,6 +40,8 @@
   revision: Revision
   /** Time at which the claim was sent to the store, on this VM's clock. */
   claimedAtMs: number
+  /** The order that this or an earlier holder recorded before sending it and has not cleared since. */
+  order: OpenOrder | null
 }
 
 export interface DutyClaimsOptions {
@@ -83,7 +97,32 @@
    */
   async claim (service: string): Promise<Claim | null> {
     const current = await this.#options.store.find('duties', formatObjectName(service))
-    return this.#isFree(service, current) || await this.#confirmUnclaimed(service, current) ? await this.#write(service, current) : null
+    return this.#isFree(service, current) || await this.#confirmUnclaimed(service, current) ? await this.#write(service, current, readOrder(current)) : null
+  }
+
+  /**
+   * Records an order in the claim's object, before the order is sent, so that a VM that claims later knows of it.
+   *
+   * @returns the claim to use, with a new fencing token; `null` if the claim is no longer usable
+   * @throws MetadataError if the store did not respond; the order may have been recorded
+   * @example claim = await claims.recordOrder(claim, { endpoint: 'orders-2', startedAtMs: 1700000000000, term: 7 })
+   */
+  async recordOrder (claim: Claim, order: OpenOrder): Promise<Claim | null> {
+    return this.isUsable(claim) ? await this.#write(claim.service, claim, order) : null
+  }
+
+  /**
+   * Clears the order of a claim that this VM holds, also one whose record the store did not confirm.
+   *
+   * @returns the claim to use; `null` if another VM has claimed the duty since
+   * @throws MetadataError if the store did not respond
+   */
+  async removeOrder (claim: Claim): Promise<Claim | null> {
+    const { store, vm, incarnation } = this.#options
+    const current = await store.find('duties', formatObjectName(claim.service))
+    const value = claimSchema.safeParse(current?.value)
+    const isHolder = value.success && value.data.holder === vm && value.data.incarnation === incarnation
+    return isHolder && this.#isOfCurrentEpoch(current!) ? await this.#write(claim.service, current, null) : null
   }
 
   /** Whether this VM may be acting on a claim of the service, or an order sent on the strength of one may still be on its way, also from before its start. */
@@ -120,17 +159,17 @@
     const current = await store.find('duties', formatObjectName(claim.service))
     const isClaimedAgain = current !== undefined && this.#isOfCurrentEpoch(current)
     if (!this.#isInTime(claim) || isClaimedAgain) return null
-    const claimedAgain = await this.#write(claim.service, current)
+    const claimedAgain = await this.#write(claim.service, current, claim.order)
     if (claimedAgain !== null) logger.warn('failover claim written again, the metadata store has returned from an older copy', { service: claim.service, previousToken: claim.fencingToken, fencingToken: claimedAgain.fencingToken })
     return claimedAgain
   }
 
-  /** Releases the claim, so that other VMs need not wait until they may take it over. Failures are only logged. */
+  /** Releases the claim, with its order if it has one, so that other VMs need not wait until they may take it over. Failures are only logged. */
   async release (claim: Claim): Promise<void> {
     const { store, logger, incarnation } = this.#options
     this.#held.delete(claim.service)
     try {
-      await store.write('duties', formatObjectName(claim.service), { holder: null, incarnation, epoch: claim.revision.epoch }, claim.revision)
+      await store.write('duties', formatObjectName(claim.service), { holder: null, incarnation, epoch: claim.revision.epoch, order: claim.order }, claim.revision)
     } catch (error) {
       logger.info('releasing the failover claim failed', { service: claim.service, reason: String(error) })
     }
@@ -141,13 +180,13 @@
   }
 
   /** Writes a claim in place of what was found. @returns `null` if the object has changed since */
-  async #write (service: string, current: StoredObject<unknown> | undefined): Promise<Claim | null> {
+  async #write (service: string, current: Pick<StoredObject<unknown>, 'revision'> | undefined, order: OpenOrder | null): Promise<Claim | null> {
     const { store, clock, vm, incarnation } = this.#options
     const claimedAtMs = clock.readNow()
     try {
-      const revision = await store.write('duties', formatObjectName(service), { holder: vm, incarnation, epoch: store.epochs.current }, current?.revision ?? null)
+      const revision = await store.write('duties', formatObjectName(service), { holder: vm, incarnation, epoch: store.epochs.current, order }, current?.revision ?? null)
       this.#observed.delete(service)
-      const claim = { service, fencingToken: computeFencingToken(revision), revision, claimedAtMs }
+      const claim = { service, fencingToken: computeFencingToken(revision), revision, claimedAtMs, order }
       this.#held.set(service, claim)
       return claim
     } catch (error) {
@@ -198,6 +237,11 @@
   return token
 }
 
+function readOrder (current: StoredObject<unknown> | undefined): OpenOrder | null {
+  const claim = claimSchema.safeParse(current?.value)
+  return claim.success ? claim.data.order : null
+}
+
 function formatObjectName (service: string): string {
   return `${OBJECT_NAME_PREFIX}${service}`
 }
--- a/packages/gateway/src/failover/failover-watch.ts
+++ b/packages/gateway/src/failover/failover-watch.ts
@@ -4,7 +4,8 @@
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { measureUnansweredMs } from '../pool/endpoint-health.ts'
 import { findPromotionReason, type PromotionEvidence } from './decide-promotion.ts'
-import { runPromotion, type PromotionHost } from './run-promotion.ts'
+import type { PromotionHost } from './promotion-attempt.ts'
+import { runPromotion } from './run-promotion.ts'
 
 const CHECK_INTERVAL_MS = 100
 /** Fresh reports are requested from the other VMs if the primary has been unresponsive for this long. */
--- /dev/null
+++ b/packages/gateway/src/failover/fence-group.ts
@@ -0,0 +1,158 @@
+import { comparePositions } from '@camphorpitch/wire'
+import type { EndpointConnection, EndpointStatus } from '../backend/endpoint-connector.ts'
+import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+import { LEADER_LEASE_MS } from '../freshness/group-state.ts'
+import { waitFor } from '../runtime/wait-at-most.ts'
+import { ensureNotReplaced, isNewer } from './check-leadership.ts'
+import { MAX_UNFENCED_BESIDE_PRIMARY, type FencedEndpoint } from './decide-promotion.ts'
+import { RETRY_DELAY_MS, runOnAll, type Attempt } from './promotion-attempt.ts'
+
+/** Time that the replicas have to receive the complete log of a primary that has stepped down. */
+const CATCH_UP_TIMEOUT_MS = 600
+/** Times that the leases are waited for again because a replica has lost its pause. */
+const MAX_LEASE_WAITS = 3
+
+/** Sets a term that no endpoint has seen yet, in case the primary's term is unknown because the primary has not responded so far. */
+export async function updateTerm (attempt: Attempt): Promise<void> {
+  if (attempt.term > 1) return
+  const { oldPrimary, replicas } = attempt
+  const statuses = await runOnAll(attempt, oldPrimary === undefined ? replicas : [...replicas, oldPrimary], async c => await c.readStatus())
+  attempt.term = Math.max(1, ...statuses.map(({ status }) => Math.max(status.term, status.pausedForTerm) + 1))
+  ensureNotReplaced(attempt, statuses)
+  if (statuses.some(({ entry, status }) => entry === oldPrimary && status.role === 'replica')) addOldPrimaryToReplicas(attempt)
+}
+
+/** Counts the endpoint that was taken for the primary among the replicas. */
+export function addOldPrimaryToReplicas (attempt: Attempt): void {
+  if (attempt.oldPrimary !== undefined) attempt.replicas = [...attempt.replicas, attempt.oldPrimary]
+  attempt.oldPrimary = undefined
+}
+
+/**
+ * Pauses a replica at `term` or a later one. A pause takes effect only above the term of an earlier one, which the replica may still
+ * report although it was resumed.
+ *
+ * @returns its status, before the pause if it is none or has a newer term
+ */
+export async function pauseReplica (connection: EndpointConnection, term: number): Promise<EndpointStatus | null> {
+  const before = await connection.readStatus()
+  if (before === null || before.role === 'primary' || isNewer(before, term)) return before
+  return await connection.pause(Math.max(term, before.pausedForTerm + 1))
+}
+
+/** The endpoints that receive nothing more from the old primary. */
+export interface FencedGroup {
+  endpoints: FencedEndpoint[]
+  /** Number of replicas that may still receive from it or from a primary that is not known. */
+  unfencedReplicas: number
+}
+
+/**
+ * Pauses the replicas, so that they receive nothing more from the old primary. If some can't be paused, the old primary counts
+ * as well, if it steps down on request.
+ */
+export async function fenceReplicas (attempt: Attempt): Promise<FencedGroup> {
+  const { host, replicas, term } = attempt
+  const pendingDemotion = demoteOldPrimary(attempt)
+  pendingDemotion.catch(() => {}) // Its result is needed only if a replica could not be paused.
+  const paused = await runOnAll(attempt, replicas, async c => await pauseReplica(c, term))
+  ensureNotReplaced(attempt, paused)
+  const isPaused = (s: EndpointStatus): boolean => s.role === 'replica' && s.pausedForTerm >= term
+  const endpoints = paused.filter(({ status }) => isPaused(status)).map(({ entry, status }) => describeFenced(attempt, entry, status, false))
+  const unfencedReplicas = replicas.length - endpoints.length
+  if (unfencedReplicas === 0) return { endpoints, unfencedReplicas }
+  host.logger.info('not all replicas fenced', { service: attempt.group.service, term, responses: paused.map(p => ({ endpoint: p.entry.endpoint, ...p.status })) })
+  return { endpoints: [...endpoints, ...await pendingDemotion], unfencedReplicas }
+}
+
+/**
+ * Has the old primary step down. An endpoint that already was a replica is treated as one, since its log may lack commits.
+ *
+ * @returns the old primary, or an empty list if it did not step down
+ */
+async function demoteOldPrimary (attempt: Attempt): Promise<FencedEndpoint[]> {
+  const { oldPrimary, term } = attempt
+  if (oldPrimary === undefined) return []
+  const before = await runOnAll(attempt, [oldPrimary], async c => await c.readStatus())
+  ensureNotReplaced(attempt, before)
+  if (before[0]?.status.role === 'replica') addOldPrimaryToReplicas(attempt)
+  if (before[0]?.status.role !== 'primary') return []
+  const after = await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
+  ensureNotReplaced(attempt, after)
+  return after.filter(({ status }) => status.role === 'replica').map(({ entry, status }) => describeFenced(attempt, entry, status, true))
+}
+
+/**
+ * Fences the group while the old primary still works: the primary steps down, then its replicas receive the rest of its log.
+ *
+ * @returns the replicas that hold the whole log, and the old primary; empty if it did not step down
+ */
+export async function fencePlannedChange (attempt: Attempt): Promise<FencedGroup> {
+  const { host, replicas } = attempt
+  const followers = await runOnAll(attempt, replicas, async c => await c.readStatus())
+  ensureNotReplaced(attempt, followers)
+  if (replicas.length - followers.length > MAX_UNFENCED_BESIDE_PRIMARY) return { endpoints: [], unfencedReplicas: replicas.length - followers.length }
+  const [steppedDown] = await demoteOldPrimary(attempt)
+  if (steppedDown === undefined) return attempt.oldPrimary === undefined ? await fenceReplicas(attempt) : { endpoints: [], unfencedReplicas: replicas.length }
+  const deadlineMs = host.clock.readNow() + CATCH_UP_TIMEOUT_MS
+  for (;;) {
+    const statuses = await runOnAll(attempt, replicas, async c => await c.readStatus())
+    ensureNotReplaced(attempt, statuses)
+    const caughtUp = statuses.filter(({ status }) => comparePositions(status.received, steppedDown.received) >= 0).map(({ entry, status }) => describeFenced(attempt, entry, status, false))
+    const unfencedReplicas = replicas.length - statuses.length
+    if (caughtUp.length > 0) return { endpoints: [...caughtUp, steppedDown], unfencedReplicas }
+    if (host.clock.readNow() >= deadlineMs) return await verifyFence(attempt, { endpoints: [steppedDown], unfencedReplicas })
+    await waitFor(RETRY_DELAY_MS)
+  }
+}
+
+/** An endpoint whose log is shorter than it has been has lost it, and counts as just started even if its restart is not registered yet. */
+function describeFenced ({ group }: Attempt, entry: EndpointEntry, { received }: EndpointStatus, isOldPrimary: boolean): FencedEndpoint {
+  const latest = group.pools.get(entry.endpoint)?.latestPosition ?? null
+  const hasLostLog = latest !== null && comparePositions(received, latest) < 0
+  return { endpoint: entry.endpoint, received, isDraining: entry.isDraining, ageMs: hasLostLog ? 0 : Date.now() - entry.startedAtMs, isOldPrimary }
+}
+
+/**
+ * Waits until the lease of the old primary has expired on VMs that did not confirm the revocation, and may still send it statements.
+ * A replica that was resumed by a restart meanwhile may have given them the proof for another lease, so the wait begins again.
+ */
+export async function waitForLeases (attempt: Attempt, fenced: FencedGroup, fencedAtMs: number): Promise<FencedGroup> {
+  const { host, group } = attempt
+  for (let waits = 1; waits <= MAX_LEASE_WAITS; waits++) {
+    const waitMs = fencedAtMs + LEADER_LEASE_MS - host.clock.readNow()
+    host.logger.info('waiting for leadership leases to expire', { service: group.service, waitMs: Math.round(waitMs) })
+    if (waitMs > 0) await waitFor(waitMs)
+    const verified = await verifyFence(attempt, fenced)
+    if (!verified.hasLostPause) return verified
+    fenced = verified
+    fencedAtMs = host.clock.readNow()
+  }
+  host.logger.warn('replicas have lost their pause again and again', { service: group.service, term: attempt.term })
+  return { endpoints: [], unfencedReplicas: attempt.replicas.length }
+}
+
+/**
+ * Reads the positions of the fenced endpoints again after a wait. One that does not respond, or whose log has become shorter because it
+ * has restarted without it, counts as unfenced; a replica that was resumed by a restart is paused again.
+ */
+async function verifyFence (attempt: Attempt, { endpoints, unfencedReplicas }: FencedGroup): Promise<FencedGroup & { hasLostPause: boolean }> {
+  const { host, group, replicas, oldPrimary, term } = attempt
+  const isPlanned = attempt.reason === 'primary draining'
+  const pendingStatus = runOnAll(attempt, oldPrimary === undefined ? [] : [oldPrimary], async c => await c.readStatus())
+  const before = await runOnAll(attempt, replicas, async c => await c.readStatus())
+  ensureNotReplaced(attempt, before)
+  const resumed = isPlanned ? [] : before.filter(({ entry, status }) => status.pausedForTerm < term && endpoints.some(f => f.endpoint === entry.endpoint))
+  const paused = await runOnAll(attempt, resumed.map(r => r.entry), async c => await pauseReplica(c, term))
+  ensureNotReplaced(attempt, paused)
+  const statuses = [...before.filter(b => !resumed.includes(b)), ...paused]
+  const statusByEndpoint = new Map([...statuses, ...await pendingStatus].map(({ entry, status }) => [entry.endpoint, status]))
+  const verified = endpoints.flatMap(f => {
+    const status = statusByEndpoint.get(f.endpoint)
+    if (status === undefined || comparePositions(status.received, f.received) < 0) return []
+    return isPlanned || f.isOldPrimary || status.pausedForTerm >= term ? [{ ...f, received: status.received }] : []
+  })
+  if (verified.length < endpoints.length || resumed.length > 0) host.logger.warn('fenced endpoints do not respond, or have lost their logs or their pause', { service: group.service, term, before: endpoints, resumed: resumed.map(r => r.entry.endpoint), after: Object.fromEntries(statusByEndpoint) })
+  const lostReplicas = endpoints.filter(f => !f.isOldPrimary).length - verified.filter(f => !f.isOldPrimary).length
+  return { endpoints: verified, unfencedReplicas: unfencedReplicas + lostReplicas, hasLostPause: resumed.length > 0 }
+}
--- /dev/null
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -0,0 +1,136 @@
+import { comparePositions, type LogPosition } from '@camphorpitch/wire'
+import type { EndpointConnection, EndpointStatus } from '../backend/endpoint-connector.ts'
+import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+import { waitFor } from '../runtime/wait-at-most.ts'
+import type { FencedEndpoint } from './decide-promotion.ts'
+import { ensureLatestPrimary, ensureNotReplaced } from './check-leadership.ts'
+import type { OpenOrder } from './duty-claim.ts'
+import { pauseReplica } from './fence-group.ts'
+import { REVOKE_TIMEOUT_MS, runOnAll, type Attempt, type EndpointResult } from './promotion-attempt.ts'
+import { updateClaim } from './promotion-claim.ts'
+
+const STATUS_INTERVAL_MS = 100
+const PROMOTE_TIMEOUT_MS = 700
+/** An order that has not taken effect after this long is sent again. */
+const PROMOTION_EFFECT_TIMEOUT_MS = 3_500
+/** Number of times that an attempt sends its order; another VM may reach the promoter better. */
+const MAX_ORDER_CALLS = 2
+
+/**
+ * Orders the promotion, again if it does not take effect in time, and waits until it does. The order is recorded first.
+ *
+ * @returns the endpoint, or `null` if it did not become primary
+ */
+export async function requestPromotion (attempt: Attempt, { endpoint, received }: { endpoint: string, received: LogPosition | null }, fenced: readonly FencedEndpoint[]): Promise<string | null> {
+  const { host, group, replicas, oldPrimary } = attempt
+  const entry = [...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].find(e => e.endpoint === endpoint)
+  if (entry === undefined) return null
+  const openOrder = { endpoint, startedAtMs: entry.startedAtMs, term: attempt.term }
+  for (let calls = 1; calls <= MAX_ORDER_CALLS; calls++) {
+    if (!await recordOrder(attempt, openOrder)) {
+      host.logger.warn('promotion cancelled, the failover claim has expired', { service: group.service, openOrder: attempt.openOrder })
+      return null
+    }
+    if (!await isStillSafe(attempt, entry, received, fenced)) {
+      host.logger.warn('promotion order not sent, an endpoint has lost its log or its pause since it was compared', { service: group.service, openOrder: attempt.openOrder, ...openOrder })
+      return null
+    }
+    const order = { service: group.service, endpoint, holder: host.vm, fencingToken: attempt.claim.fencingToken }
+    const result = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
+    host.logger.warn('promotion requested', { ...order, result, calls })
+    if (result === 'refused') attempt.openOrder = null
+    else if (result !== 'busy') attempt.openOrder = openOrder
+    if (attempt.openOrder === null) return null
+    if (await waitForEffect(attempt, entry)) return endpoint
+    const renewal = host.revoke(group, attempt.term, false, REVOKE_TIMEOUT_MS)
+    ensureLatestPrimary(attempt, (await renewal).latestPrimary)
+  }
+  return null
+}
+
+/**
+ * Checks right before an order is sent that its endpoint has not lost its log, and that no other replica has lost its pause, since
+ * they were compared. An endpoint that does not respond is ordered again only: the promoter refuses the order if it does not run.
+ */
+async function isStillSafe (attempt: Attempt, { endpoint }: EndpointEntry, received: LogPosition | null, fenced: readonly FencedEndpoint[]): Promise<boolean> {
+  const { group, term, reason, openOrder } = attempt
+  const statuses = await runOnAll(attempt, [...group.pools.values()].map(p => p.entry), async c => await c.readStatus())
+  ensureNotReplaced(attempt, statuses)
+  const ordered = statuses.find(({ entry }) => entry.endpoint === endpoint)
+  if (ordered === undefined) return openOrder !== null
+  if (received !== null && comparePositions(ordered.status.received, received) < 0) return false
+  // In a planned change the old primary has stepped down, so that no replica receives anything more.
+  if (reason === 'primary draining') return true
+  const paused = new Set(fenced.filter(f => !f.isOldPrimary).map(f => f.endpoint))
+  return statuses.every(({ entry, status }) => !paused.has(entry.endpoint) || status.pausedForTerm >= term)
+}
+
+/** Records the order to be sent in the claim's object, unless it is recorded already. @returns whether the claim may be acted on */
+async function recordOrder (attempt: Attempt, order: OpenOrder): Promise<boolean> {
+  const { claims } = attempt.host
+  const claim = await claims.ensureUsable(attempt.claim)
+  if (claim === null) return false
+  attempt.claim = claim
+  if (isSameOrder(claim.order, order)) return true
+  attempt.mayHaveRecordedOrder = true
+  const recorded = await claims.recordOrder(claim, order)
+  if (recorded === null || !claims.isUsable(recorded)) return false
+  attempt.claim = recorded
+  return true
+}
+
+function isSameOrder (a: OpenOrder | null, b: OpenOrder | null): boolean {
+  return a?.endpoint === b?.endpoint && a?.startedAtMs === b?.startedAtMs && a?.term === b?.term
+}
+
+/**
+ * Polls the endpoint until it reports that it is primary, and keeps the group fenced. Keeps the claim meanwhile, so that no other VM
+ * promotes a second endpoint while this order may still take effect.
+ *
+ * @returns whether it took effect in time
+ * @throws Error if another VM has the claim, or another endpoint leads
+ */
+async function waitForEffect (attempt: Attempt, entry: EndpointEntry): Promise<boolean> {
+  const { host, group, openOrder } = attempt
+  const { endpoint } = entry
+  const requestedAtMs = host.clock.readNow()
+  const deadlineMs = requestedAtMs + PROMOTION_EFFECT_TIMEOUT_MS
+  while (host.clock.readNow() < deadlineMs) {
+    await waitFor(STATUS_INTERVAL_MS)
+    const isHeld = await updateClaim(attempt)
+    if (isHeld === false || !isSameOrder(attempt.claim.order, openOrder)) throw new Error('another VM has claimed the duty while the promotion order had not taken effect')
+    const sentAtMs = host.clock.readNow()
+    const [known] = await runOnAll(attempt, [entry], async c => await c.readStatus())
+    if (known?.status.role === 'primary' && known.status.term >= attempt.term) {
+      host.logger.warn('promotion took effect', { service: group.service, endpoint, term: known.status.term, received: known.status.received, orderAgeMs: Math.round(host.clock.readNow() - requestedAtMs) })
+      attempt.term = known.status.term
+      attempt.leadershipVerifiedAtMs = sentAtMs
+      return true
+    }
+    await restoreFence(attempt, entry)
+  }
+  host.logger.warn('promotion order has not taken effect in time', { service: group.service, endpoint, orderAgeMs: Math.round(host.clock.readNow() - requestedAtMs) })
+  return false
+}
+
+/** Fences endpoints again that have restarted, joined, or can be reached only now, while an order for another endpoint is open. */
+async function restoreFence (attempt: Attempt, ordered: EndpointEntry): Promise<void> {
+  const { host, group, term } = attempt
+  const others = [...group.pools.values()].map(p => p.entry).filter(e => e.endpoint !== ordered.endpoint)
+  const statuses = await runOnAll(attempt, others, async c => await c.readStatus())
+  ensureNotReplaced(attempt, statuses)
+  const unfenced = statuses.filter(({ status }) => status.role === 'primary' || status.pausedForTerm < term)
+  if (unfenced.length === 0) return
+  const fenced = await runOnAll(attempt, unfenced.map(u => u.entry), async c => await fenceEndpoint(c, term))
+  host.logger.warn('endpoints fenced again while a promotion order is open', { service: group.service, term, endpoint: ordered.endpoint, before: describeStatuses(unfenced), after: describeStatuses(fenced) })
+  ensureNotReplaced(attempt, fenced)
+}
+
+async function fenceEndpoint (connection: EndpointConnection, term: number): Promise<EndpointStatus | null> {
+  const status = await pauseReplica(connection, term)
+  return status?.role === 'primary' && status.term < term ? await connection.demote(term) : status
+}
+
+function describeStatuses (results: readonly EndpointResult[]): Record<string, EndpointStatus> {
+  return Object.fromEntries(results.map(({ entry, status }) => [entry.endpoint, status]))
+}
--- /dev/null
+++ b/packages/gateway/src/failover/promotion-attempt.ts
@@ -0,0 +1,95 @@
+import { describeError, type Clock, type Logger, type LogPosition } from '@camphorpitch/wire'
+import type { EndpointStatus } from '../backend/endpoint-connector.ts'
+import type { Promoter } from '../backend/promoter.ts'
+import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+import type { KnownPrimary } from '../freshness/group-state.ts'
+import type { EndpointStart, ReportedDeparture } from '../groups/departures.ts'
+import type { ServiceGroup } from '../groups/service-group.ts'
+import { waitFor } from '../runtime/wait-at-most.ts'
+import type { ControlCommand, ControlConnections } from './control-connections.ts'
+import type { PromotionReason } from './decide-promotion.ts'
+import type { Claim, DutyClaims, OpenOrder } from './duty-claim.ts'
+
+const MAX_BUSY_ATTEMPTS = 4
+/** Time that the VMs have to confirm that they revoked the primary's leadership. */
+export const REVOKE_TIMEOUT_MS = 250
+export const RETRY_DELAY_MS = 25
+
+/** Result of the request to all VMs to revoke the leadership of a primary. */
+export interface Revocation {
+  /** Whether every VM that may be running has confirmed. */
+  hasEveryVmConfirmed: boolean
+  /**
+   * Whether no acknowledged position can lie beyond `acknowledged`: every VM has confirmed, and a commit was sent and acknowledged
+   * after a VM last stopped or restarted and forgot what it knew.
+   */
+  hasEveryAcknowledgement: boolean
+  /** Latest position that any of the VMs that confirmed knows to be acknowledged; `null` if none knows one. */
+  acknowledged: LogPosition | null
+  /** Primary of the latest term that any of the VMs that confirmed knows; `null` if none knows one. */
+  latestPrimary: KnownPrimary | null
+  /** The group's endpoints that the other VMs know. */
+  endpoints: readonly EndpointStart[]
+  /** Endpoints that the other VMs have seen leave the group. */
+  departures: readonly ReportedDeparture[]
+}
+
+/** What a promotion needs from the VM that runs it. */
+export interface PromotionHost {
+  clock: Clock
+  logger: Logger
+  vm: string
+  control: ControlConnections
+  claims: DutyClaims
+  promoter: Promoter
+  /** Has all VMs, this one included, revoke the primary's leadership: they no longer send it reads on the strength of its lease. Waits for `waitMs` at most. */
+  revoke: (group: ServiceGroup, term: number, isPlanned: boolean, waitMs: number) => Promise<Revocation>
+  /**
+   * Tells all VMs the outcome of the attempt: the endpoint that was primary at `leadershipVerifiedAtMs`, or `null` if
+   * no endpoint was promoted.
+   */
+  publishOutcome: (group: ServiceGroup, endpoint: string | null, term: number, leadershipVerifiedAtMs: number) => void
+}
+
+/** One attempt of this VM to replace a service's primary. */
+export interface Attempt {
+  host: PromotionHost
+  group: ServiceGroup
+  reason: PromotionReason
+  claim: Claim
+  /** The primary that this VM knew when the attempt began. */
+  knownPrimary: KnownPrimary | null
+  /** Term at which the endpoints are fenced; once the new primary is known, its term. */
+  term: number
+  oldPrimary: EndpointEntry | undefined
+  replicas: EndpointEntry[]
+  /** Time at which the status request was sent to which the new primary responded that it leads. */
+  leadershipVerifiedAtMs: number
+  /** An order of this or an earlier attempt that may still take effect. */
+  openOrder: OpenOrder | null
+  /** Whether the claim's object in the store may hold an order that was not sent. */
+  mayHaveRecordedOrder: boolean
+}
+
+export interface EndpointResult { entry: EndpointEntry, status: EndpointStatus }
+
+/** Runs a command on several endpoints at once. @returns the statuses of those that responded */
+export async function runOnAll (attempt: Attempt, entries: readonly EndpointEntry[], command: ControlCommand): Promise<EndpointResult[]> {
+  const results = await Promise.all(entries.map(async entry => ({ entry, status: await runWithRetries(attempt, entry, command) })))
+  return results.flatMap(({ entry, status }) => status === null ? [] : [{ entry, status }])
+}
+
+/** Runs a command, with retries while the endpoint is busy. @returns `null` if it stayed busy or did not respond */
+async function runWithRetries ({ host }: Attempt, entry: EndpointEntry, command: ControlCommand): Promise<EndpointStatus | null> {
+  for (let attempts = 1; attempts <= MAX_BUSY_ATTEMPTS; attempts++) {
+    try {
+      const status = await host.control.run(entry, command)
+      if (status !== null) return status
+    } catch (error) {
+      host.logger.info('control command failed', { endpoint: entry.endpoint, reason: describeError(error) })
+      return null
+    }
+    await waitFor(RETRY_DELAY_MS)
+  }
+  return null
+}
--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -249,11 +249,15 @@
       vm1.commit()
       await fleet.advance(50)
       vm1.connector.unreachable.add('p')
-      vm1.losesOrders = true
       const first = vm1.promote('primary lost')
-      await fleet.advance(5_000)
+      await fleet.advance(10)
+      vm1.isStoreReachable = false
+      await fleet.advance(2_000)
+      vm1.isStoreReachable = true
+      await fleet.advance(3_000)
       expect(await first).to.equal(null)
-      vm1.losesOrders = false
+      expect(vm1.orders).to.deep.equal([])
+      expect(fleet.group.find('a').isPaused).to.equal(false)
       vm1.unreachableVms.add('vm2')
       const second = vm1.promote('primary lost')
       await fleet.advance(1_260)
--- a/packages/gateway/src/fleet/revocations.ts
+++ b/packages/gateway/src/fleet/revocations.ts
@@ -1,5 +1,5 @@
 import { pickLaterPosition, type LogPosition } from '@camphorpitch/wire'
-import type { Revocation } from '../failover/run-promotion.ts'
+import type { Revocation } from '../failover/promotion-attempt.ts'
 import type { KnownPrimary } from '../freshness/group-state.ts'
 import type { EndpointStart, ReportedDeparture } from '../groups/departures.ts'
 
