Order an endpoint again only if it still has the log for which it was chosen

The record of an order now holds the end of the log, and nothing is ordered while the endpoint of an open order is silent; once it has left or started again, the order is void.

--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -18,7 +18,9 @@
   /** Start of the endpoint; once it has started again, the order no longer takes effect. */
   startedAtMs: z.number(),
   /** Term at which the group was fenced when the endpoint was chosen. */
-  term: z.number()
+  term: z.number(),
+  /** End of the endpoint's log then; a shorter log shows that it has started again. */
+  received: z.object({ term: z.number(), index: z.number() })
 })
 
 const claimSchema = z.object({
@@ -105,7 +107,7 @@
    *
    * @returns the claim to use, with a new fencing token; `null` if the claim is no longer usable
    * @throws MetadataError if the store did not respond; the order may have been recorded
-   * @example claim = await claims.recordOrder(claim, { endpoint: 'orders-2', startedAtMs: 1700000000000, term: 7 })
+   * @example claim = await claims.recordOrder(claim, { endpoint: 'orders-2', startedAtMs: 1700000000000, term: 7, received: { term: 6, index: 120 } })
    */
   async recordOrder (claim: Claim, order: OpenOrder): Promise<Claim | null> {
     return this.isUsable(claim) ? await this.#write(claim.service, claim, order) : null
--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -21,11 +21,11 @@
  *
  * @returns the endpoint, or `null` if it did not become primary
  */
-export async function requestPromotion (attempt: Attempt, { endpoint, received }: { endpoint: string, received: LogPosition | null }, fenced: readonly FencedEndpoint[]): Promise<string | null> {
+export async function requestPromotion (attempt: Attempt, { endpoint, received }: FencedEndpoint, fenced: readonly FencedEndpoint[]): Promise<string | null> {
   const { host, group, replicas, oldPrimary } = attempt
   const entry = [...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].find(e => e.endpoint === endpoint)
   if (entry === undefined) return null
-  const openOrder = { endpoint, startedAtMs: entry.startedAtMs, term: attempt.term }
+  const openOrder = { endpoint, startedAtMs: entry.startedAtMs, term: attempt.term, received }
   for (let calls = 1; calls <= MAX_ORDER_CALLS; calls++) {
     if (!await recordOrder(attempt, openOrder)) {
       host.logger.warn('promotion cancelled, the failover claim has expired', { service: group.service, openOrder: attempt.openOrder })
@@ -50,15 +50,14 @@
 
 /**
  * Checks right before an order is sent that its endpoint has not lost its log, and that no other replica has lost its pause, since
- * they were compared. An endpoint that does not respond is ordered again only: the promoter refuses the order if it does not run.
+ * they were compared.
  */
-async function isStillSafe (attempt: Attempt, { endpoint }: EndpointEntry, received: LogPosition | null, fenced: readonly FencedEndpoint[]): Promise<boolean> {
-  const { group, term, reason, openOrder } = attempt
+async function isStillSafe (attempt: Attempt, { endpoint }: EndpointEntry, received: LogPosition, fenced: readonly FencedEndpoint[]): Promise<boolean> {
+  const { group, term, reason } = attempt
   const statuses = await runOnAll(attempt, [...group.pools.values()].map(p => p.entry), async c => await c.readStatus())
   ensureNotReplaced(attempt, statuses)
   const ordered = statuses.find(({ entry }) => entry.endpoint === endpoint)
-  if (ordered === undefined) return openOrder !== null
-  if (received !== null && comparePositions(ordered.status.received, received) < 0) return false
+  if (ordered === undefined || comparePositions(ordered.status.received, received) < 0) return false
   // In a planned change the old primary has stepped down, so that no replica receives anything more.
   if (reason === 'primary draining') return true
   const paused = new Set(fenced.filter(f => !f.isOldPrimary).map(f => f.endpoint))
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -1,8 +1,8 @@
-import { comparePositions, describeError, type LogPosition } from '@camphorpitch/wire'
+import { comparePositions, describeError, pickLaterPosition } from '@camphorpitch/wire'
 import { formatStart, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { ensureLatestPrimary } from './check-leadership.ts'
-import { pickCandidate, type PromotionReason } from './decide-promotion.ts'
+import { pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
 import { fencePlannedChange, fenceReplicas, updateTerm, waitForLeases, type FencedGroup } from './fence-group.ts'
 import { requestPromotion } from './order-promotion.ts'
 import { REVOKE_TIMEOUT_MS, runOnAll, type Attempt, type PromotionHost, type Revocation } from './promotion-attempt.ts'
@@ -72,17 +72,20 @@
 
 /**
  * Finds the endpoint of an order that may still take effect. Its choice was proven when the order was recorded, and no commit was
- * acknowledged since, so only a position that a VM knows to be acknowledged rules it out. If it does not respond, the promoter knows
- * better whether it runs, and refuses the order if it does not.
+ * acknowledged since. One that has left, or started again without its log, is not promoted by that order any more.
+ *
+ * @throws Error if it does not respond, so that nothing can be ordered: if it runs, it may become primary at any time
  */
-function findOrdered ({ host, group, openOrder }: Attempt, fenced: FencedGroup, { acknowledged }: Revocation): { endpoint: string, received: LogPosition | null } | undefined {
+function findOrdered (attempt: Attempt, fenced: FencedGroup, { acknowledged }: Revocation): FencedEndpoint | undefined {
+  const { host, group, openOrder } = attempt
   if (openOrder === null) return undefined
-  const { endpoint, startedAtMs } = openOrder
-  const { received } = fenced.endpoints.find(f => f.endpoint === endpoint) ?? { received: null }
-  const isSameStart = group.pools.get(endpoint)?.entry.startedAtMs === startedAtMs
-  const lacksCommits = received !== null && acknowledged !== null && comparePositions(received, acknowledged) < 0
-  if (isSameStart && !lacksCommits) return { endpoint, received }
-  host.logger.warn('endpoint of an open promotion order can not be promoted', { service: group.service, openOrder, isSameStart, received, acknowledged })
+  const ordered = fenced.endpoints.find(f => f.endpoint === openOrder.endpoint)
+  const isSameStart = group.pools.get(openOrder.endpoint)?.entry.startedAtMs === openOrder.startedAtMs
+  if (isSameStart && ordered === undefined) throw new Error(`${openOrder.endpoint} does not respond and may be promoted at any time by an earlier order`)
+  const isComplete = ordered !== undefined && comparePositions(ordered.received, pickLaterPosition(acknowledged, openOrder.received)) >= 0
+  if (isSameStart && isComplete) return ordered
+  host.logger.warn('promotion order has no effect any more, its endpoint has left or lost its log', { service: group.service, openOrder, isSameStart, ordered, acknowledged })
+  attempt.openOrder = null
   return undefined
 }
 
