--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -1,4 +1,4 @@
-import { createLogger, createSeededRandom, type Logger } from '@camphorpitch/wire'
+import { createSeededRandom, type Logger } from '@camphorpitch/wire'
 import { EndpointConnector } from '../backend/endpoint-connector.ts'
 import { Promoter, type PromotionOrder, type PromotionResult } from '../backend/promoter.ts'
 import type { PromotionReason } from '../failover/decide-promotion.ts'
@@ -13,6 +13,7 @@
 import { ServiceGroup } from '../groups/service-group.ts'
 import { MetadataError } from '../metadata/errors.ts'
 import type { Revision } from '../metadata/revision.ts'
+import { createTraceLogger } from './event-trace.ts'
 import { MemoryStore, type MemoryStoreState } from './memory-store.ts'
 import { SimulatedConnector, SimulatedGroup } from './simulated-group.ts'
 import { VirtualTime } from './virtual-time.ts'
@@ -36,7 +37,7 @@
     this.time.start()
     this.group = new SimulatedGroup(endpoints)
     this.random = createSeededRandom(seed)
-    this.logger = createLogger({ process: 'test', level: 'silent' })
+    this.logger = createTraceLogger(this.time)
   }
 
   /** Starts a VM, or starts one again without what it knew, and introduces it to the others. */
@@ -83,6 +84,8 @@
   isRunning = true
   /** Whether promotion orders of this VM are dropped on the way. */
   losesOrders = false
+  /** Whether the answers to promotion orders of this VM are dropped on the way. */
+  losesAnswers = false
   isStoreReachable = true
   /** Time from an order of this VM to its effect. */
   promotionDelayMs = 400
@@ -98,7 +101,7 @@
     this.members = createMemberState({ vm: name, host: '127.0.0.1', port: 1, failureDomain: 'north', region: 'r', incarnation: Date.now() })
     this.members.hasMemberList = true
     this.connector = new SimulatedConnector(fleet.group)
-    this.group = new ServiceGroup({ service: 's', connector: new IdleConnector(), clock: time, logger, readLimits: () => ({ retainedConnections: 0, maxOpenConnections: 0 }), recordOpened: () => {} })
+    this.group = new ServiceGroup({ service: 's', connector: new IdleConnector(), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: 0 }), recordOpened: () => {} })
     this.#store = new SimulatedStore(fleet.store.state, () => this.isRunning && this.isStoreReachable)
     const inquiries: ClaimInquiries = new ClaimInquiries({ store: this.#store, clock: time, members: this.members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => this.#send(vm, message) })
     const claims: DutyClaims = new DutyClaims({ store: this.#store, clock: time, logger, vm: name, incarnation: this.members.self.incarnation, confirmNoClaims: async (service, epoch) => await inquiries.confirmNoClaims(service, epoch) })
@@ -224,7 +227,9 @@
     this.#fleet.recordOrder(order)
     const orderedAtMs = Date.now()
     setTimeout(() => this.#fleet.group.promote(order.endpoint, orderedAtMs), this.#vm.promotionDelayMs)
-    return 'accepted'
+    if (!this.#vm.losesAnswers) return 'accepted'
+    await new Promise(resolve => setTimeout(resolve, timeoutMs))
+    return 'unknown'
   }
 }
 
