--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -35,6 +35,7 @@
       host.logger.warn('promotion order not sent, an endpoint has lost its log or its pause since it was compared', { service: group.service, openOrder: attempt.openOrder, ...openOrder })
       return null
     }
+    if (!host.claims.isUsable(attempt.claim)) continue // The checks took too long, or this VM stood still.
     const order = { service: group.service, endpoint, holder: host.vm, fencingToken: attempt.claim.fencingToken }
     const result = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
     host.logger.warn('promotion requested', { ...order, result, calls })
@@ -59,7 +60,7 @@
   const ordered = statuses.find(({ entry }) => entry.endpoint === endpoint)
   if (ordered === undefined || comparePositions(ordered.status.received, received) < 0) return false
   // In a planned change the old primary has stepped down, so that no replica receives anything more.
-  if (reason === 'primary draining') return true
+  if (reason === 'primary draining' && fenced.some(f => f.isOldPrimary)) return true
   const paused = new Set(fenced.filter(f => !f.isOldPrimary).map(f => f.endpoint))
   return statuses.every(({ entry, status }) => !paused.has(entry.endpoint) || status.pausedForTerm >= term)
 }
@@ -94,6 +95,7 @@
   const { endpoint } = entry
   const requestedAtMs = host.clock.readNow()
   const deadlineMs = requestedAtMs + PROMOTION_EFFECT_TIMEOUT_MS
+  let fenceError: unknown = null
   while (host.clock.readNow() < deadlineMs) {
     await waitFor(STATUS_INTERVAL_MS)
     const isHeld = await updateClaim(attempt)
@@ -106,7 +108,9 @@
       attempt.leadershipVerifiedAtMs = sentAtMs
       return true
     }
-    await restoreFence(attempt, entry)
+    if (fenceError !== null) throw fenceError
+    // Not awaited here: an endpoint that does not respond must not delay the moment at which the new primary is known.
+    attempt.pendingFence ??= restoreFence(attempt, entry).catch((error: unknown) => { fenceError = error }).finally(() => { attempt.pendingFence = null })
   }
   host.logger.warn('promotion order has not taken effect in time', { service: group.service, endpoint, orderAgeMs: Math.round(host.clock.readNow() - requestedAtMs) })
   return false
--- a/packages/gateway/src/failover/promotion-attempt.ts
+++ b/packages/gateway/src/failover/promotion-attempt.ts
@@ -69,6 +69,8 @@
   openOrder: OpenOrder | null
   /** Whether the claim's object in the store may hold an order that was not sent. */
   mayHaveRecordedOrder: boolean
+  /** Commands that fence endpoints again while an order is open; `null` if none are running. */
+  pendingFence: Promise<void> | null
 }
 
 export interface EndpointResult { entry: EndpointEntry, status: EndpointStatus }
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -36,7 +36,7 @@
   const knownPrimary = group.state.primary === null ? null : { ...group.state.primary }
   const openOrder = claim.order !== null && claim.order.term > (knownPrimary?.term ?? 0) ? claim.order : null
   const term = Math.max((knownPrimary?.term ?? 0) + 1, openOrder?.term ?? 0)
-  const attempt: Attempt = { host, group, reason, claim, knownPrimary, oldPrimary, replicas: entries.filter(e => e !== oldPrimary), leadershipVerifiedAtMs: -Infinity, term, openOrder, mayHaveRecordedOrder: claim.order !== null }
+  const attempt: Attempt = { host, group, reason, claim, knownPrimary, oldPrimary, replicas: entries.filter(e => e !== oldPrimary), leadershipVerifiedAtMs: -Infinity, term, openOrder, mayHaveRecordedOrder: claim.order !== null, pendingFence: null }
   host.logger.warn('promotion started', { service: group.service, reason, oldPrimary: oldPrimary?.endpoint, term, fencingToken: claim.fencingToken, openOrder })
   let promoted: string | null = null
   try {
@@ -116,6 +116,7 @@
 async function finishAttempt (attempt: Attempt, promoted: string | null): Promise<void> {
   const { host, group, oldPrimary, term } = attempt
   if (promoted !== null) host.publishOutcome(group, promoted, term, attempt.leadershipVerifiedAtMs)
+  await attempt.pendingFence
   if (!await ensureClaim(attempt)) return
   if (attempt.openOrder !== null) {
     host.logger.warn('promotion attempt ended, its order may still take effect and the group stays fenced', { service: group.service, openOrder: attempt.openOrder, term })
