Hold back entries of earlier starts that an older copy of the store lists

After a return of the store its copy may list an endpoint as it was before it started again, or one that was removed since. The earlier start was applied: the VM recorded a departure that had not taken place, whose commits nothing covers once the primary is gone, took the endpoint for long started although it had just lost its log, and went to its earlier address. A removed endpoint was added again and its departure forgotten, so promotions had one more silent replica to account for.

For the two seconds in which the instances write again such entries are held back; they are applied if the store still has them then, so the directory never differs from the store for longer. Outages without a return are as before: what lapsed and comes back is used at once.

Ruled out: ignoring such entries for good, since a start time comes from the instance's clock, which may have been set back.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -4,7 +4,7 @@
 import type { ClientListener } from './clients/client-listener.ts'
 import { ElapsedClock } from './clock/elapsed-clock.ts'
 import { ConfigurationHolder } from './configuration/configuration-holder.ts'
-import { applyChanges, applyListing, createDirectory, recordStoreRecovery, removeExpiredLapsedEntries, type DirectoryState } from './directory/directory.ts'
+import { applyChanges, applyHeldBackEntries, applyListing, createDirectory, recordOlderCopy, recordStoreRecovery, removeExpiredLapsedEntries, type DirectoryState } from './directory/directory.ts'
 import { drainSessions, finishSessions } from './drain/drain.ts'
 import { runStopSteps } from './drain/stop-steps.ts'
 import { ControlConnections } from './failover/control-connections.ts'
@@ -99,7 +99,7 @@
   failover.start()
   const watches = startWatches(components)
   const maintenanceTimer = setInterval(() => {
-    groups.applyChanges(removeExpiredLapsedEntries(directory, clock.readNow()))
+    groups.applyChanges([...removeExpiredLapsedEntries(directory, clock.readNow()), ...applyHeldBackEntries(directory, clock.readNow())])
     for (const group of groups.list()) for (const pool of group.pools.values()) pool.runPlan()
   }, MAINTENANCE_INTERVAL_MS)
   const sessions = new Set<ClientSession>()
@@ -179,7 +179,7 @@
   store.epochs.subscribe(change => {
     logger.warn('metadata store returned from an older copy', { ...change, configurationVersion: configuration.version })
     metrics.storeEpochChanges.inc()
-    handleStoreRecovery()
+    recordOlderCopy(directory, clock.readNow())
   })
   const endpointsWatch = watchKind({
     store,
--- a/packages/gateway/src/directory/directory.ts
+++ b/packages/gateway/src/directory/directory.ts
@@ -4,6 +4,8 @@
 
 /** The platform guarantees that entries which lapsed during a store outage return within this time after it. */
 export const LAPSED_ENTRY_GRACE_MS = 2_000
+/** How long a removed endpoint is remembered; the store returns from copies that are seconds old. */
+const REMOVED_ENTRY_MEMORY_MS = 60_000
 
 /** The registered endpoints, including those whose entries have lapsed and may come back. */
 export interface DirectoryState {
@@ -12,27 +14,40 @@
   asOf: Revision
   /** When to remove each endpoint whose entry is missing from the store, by its name. */
   lapsedRemovalAtMs: Map<string, number>
+  /** Start of each endpoint that was removed lately, by its name, with the time of its removal. */
+  removedStarts: Map<string, { startedAtMs: number, atMs: number }>
+  /** Entries of an earlier start than is known, which an older copy of the store has. They are applied if the store still has them after the grace period. */
+  heldBack: Map<string, EndpointEntry>
   /** When the store last recovered from an outage, or returned from an older copy; entries may still be missing or outdated shortly after. */
   storeRecoveredAtMs: number
+  /** Until when entries may be of earlier starts than are known, as the store has returned from an older copy. */
+  outdatedUntilMs: number
 }
 
 export type DirectoryEvent = 'added' | 'changed' | 'lapsed' | 'removed'
 export interface DirectoryChange { event: DirectoryEvent, entry: EndpointEntry }
 
 export function createDirectory (): DirectoryState {
-  return { entries: new Map(), asOf: { epoch: 0, number: 0 }, lapsedRemovalAtMs: new Map(), storeRecoveredAtMs: -Infinity }
+  return { entries: new Map(), asOf: { epoch: 0, number: 0 }, lapsedRemovalAtMs: new Map(), removedStarts: new Map(), heldBack: new Map(), storeRecoveredAtMs: -Infinity, outdatedUntilMs: -Infinity }
 }
 
-/** Records that the store responds again after an outage, or that it has returned from an older copy. */
+/** Records that the store responds again after an outage. */
 export function recordStoreRecovery (state: DirectoryState, nowMs: number): void {
   state.storeRecoveredAtMs = nowMs
   for (const name of state.lapsedRemovalAtMs.keys()) state.lapsedRemovalAtMs.set(name, nowMs + LAPSED_ENTRY_GRACE_MS)
 }
 
+/** Records that the store has returned from an older copy. */
+export function recordOlderCopy (state: DirectoryState, nowMs: number): void {
+  recordStoreRecovery(state, nowMs)
+  state.outdatedUntilMs = nowMs + LAPSED_ENTRY_GRACE_MS
+}
+
 /** Applies a full listing of the store; one older than what has been applied is ignored. */
 export function applyListing (state: DirectoryState, listing: Listing<EndpointEntry>, nowMs: number): DirectoryChange[] {
   if (compareRevisions(listing.asOf, state.asOf) < 0) return []
   state.asOf = listing.asOf
+  state.heldBack.clear()
   const changes = listing.items.flatMap(o => applyObject(state, o, nowMs))
   const listedNames = new Set(listing.items.filter(o => o.value !== null).map(o => o.name))
   for (const name of [...state.entries.keys()]) {
@@ -55,23 +70,49 @@
     if (removalAtMs > nowMs) continue
     const entry = state.entries.get(name)
     state.lapsedRemovalAtMs.delete(name)
-    state.entries.delete(name)
-    if (entry !== undefined) changes.push({ event: 'removed', entry })
+    if (entry !== undefined) changes.push(removeEntry(state, entry, nowMs))
   }
   return changes
 }
 
-function applyObject (state: DirectoryState, { name, value }: StoredObject<EndpointEntry>, nowMs: number): DirectoryChange[] {
+/** Applies the entries of earlier starts that the store still has once the grace period after its return is over. */
+export function applyHeldBackEntries (state: DirectoryState, nowMs: number): DirectoryChange[] {
+  if (nowMs < state.outdatedUntilMs) return []
+  const objects = [...state.heldBack].map(([name, value]) => ({ name, value }))
+  return objects.flatMap(o => applyObject(state, o, nowMs))
+}
+
+function removeEntry (state: DirectoryState, entry: EndpointEntry, nowMs: number): DirectoryChange {
+  const { endpoint, startedAtMs } = entry
+  state.entries.delete(endpoint)
+  for (const [name, { atMs }] of state.removedStarts) if (nowMs - atMs >= REMOVED_ENTRY_MEMORY_MS) state.removedStarts.delete(name)
+  state.removedStarts.set(endpoint, { startedAtMs, atMs: nowMs })
+  return { event: 'removed', entry }
+}
+
+function applyObject (state: DirectoryState, { name, value }: Pick<StoredObject<EndpointEntry>, 'name' | 'value'>, nowMs: number): DirectoryChange[] {
   if (value === null) return []
+  state.heldBack.delete(name)
+  if (nowMs < state.outdatedUntilMs && isOfEarlierStart(state, value)) {
+    state.heldBack.set(name, value)
+    return []
+  }
   const previous = state.entries.get(name)
   // A store that returned from an older copy lists an entry as it was before the endpoint reported that it drains.
   const isOutdated = previous !== undefined && previous.isDraining && previous.startedAtMs === value.startedAtMs && isStoreRecovering(state, nowMs)
   const entry = isOutdated ? { ...value, isDraining: true } : value
   state.entries.set(name, entry)
   state.lapsedRemovalAtMs.delete(name)
+  state.removedStarts.delete(name)
   return [{ event: previous === undefined ? 'added' : 'changed', entry }]
 }
 
+/** Whether an entry is of a start that ended: the endpoint has started again since, or was removed. */
+function isOfEarlierStart ({ entries, removedStarts }: DirectoryState, { endpoint, startedAtMs }: EndpointEntry): boolean {
+  const present = entries.get(endpoint)
+  return present === undefined ? startedAtMs <= (removedStarts.get(endpoint)?.startedAtMs ?? -Infinity) : startedAtMs < present.startedAtMs
+}
+
 /** Whether the store recovered so recently that entries may still be missing or outdated. */
 function isStoreRecovering ({ storeRecoveredAtMs }: DirectoryState, nowMs: number): boolean {
   return nowMs < storeRecoveredAtMs + LAPSED_ENTRY_GRACE_MS
@@ -79,14 +120,14 @@
 
 /** Removes an entry that is missing from the store, or keeps it for a while if the store recovered a short time ago. */
 function handleMissingEntry (state: DirectoryState, name: string, nowMs: number): DirectoryChange[] {
+  state.heldBack.delete(name)
   const entry = state.entries.get(name)
   if (entry === undefined || state.lapsedRemovalAtMs.has(name)) return []
   if (isStoreRecovering(state, nowMs)) {
     state.lapsedRemovalAtMs.set(name, state.storeRecoveredAtMs + LAPSED_ENTRY_GRACE_MS)
     return [{ event: 'lapsed', entry }]
   }
-  state.entries.delete(name)
-  return [{ event: 'removed', entry }]
+  return [removeEntry(state, entry, nowMs)]
 }
 
 /** Lists the service's endpoints, sorted by name. */
