Leave no entry of a stopped VM in a store that returns from an older copy

A VM that stopped right after a return kept its entry in the store: the deletion was bound to a revision of the earlier epoch and rejected, or the entry was being written again while the VM left. A copy may also have the entry of a VM that had left before. VMs that start later took such a VM for a member: promotions waited for its leases, claims for its answer for 20 s, and its share of each limit stayed unused, until the entry was removed as unresponsive after 60 s.

A stop waits for an attempt to write the entry that is under way, and looks the entry up if the epoch has changed. In a new epoch the first VM in rank deletes entries of VMs that announced that they left. Within epoch 0 no call is added.

--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -1,11 +1,11 @@
 import { isDeepStrictEqual } from 'node:util'
 import type { Clock, Hello, Logger, PeerNetwork } from '@camphorpitch/wire'
 import type { z } from 'zod'
-import { RevisionConflictError } from '../metadata/errors.ts'
-import type { MetadataStore } from '../metadata/metadata-store.ts'
+import { EpochChangedError, RevisionConflictError } from '../metadata/errors.ts'
+import type { Listing, MetadataStore } from '../metadata/metadata-store.ts'
 import type { Revision } from '../metadata/revision.ts'
 import { watchKind, type KindWatch } from '../metadata/watch-kind.ts'
-import { addMember, REMOVE_ENTRY_AFTER_MS, isResponsive, listPolled, measureUnansweredMs, recordLeft, recordPoll, recordReport, removeMember, type MemberState } from './members.ts'
+import { addMember, computeRank, REMOVE_ENTRY_AFTER_MS, isResponsive, listPolled, measureUnansweredMs, recordLeft, recordPoll, recordReport, removeMember, type MemberState } from './members.ts'
 import { fleetMessageSchema, vmEntrySchema, type FleetMessage, type pollSchema, type Report } from './message-schemas.ts'
 
 export const FLEET_SLICE = 'fleet'
@@ -58,6 +58,8 @@
   #vmsWatch: KindWatch<'vms'> | undefined
   #localEntryRevision: Revision | null = null
   #isRegistering = false
+  /** The attempt to write this VM's entry that was begun last. */
+  #registrationAttempt: Promise<Revision> | undefined
   #isStopped = false
 
   constructor (options: FleetOptions) {
@@ -77,9 +79,10 @@
       kind: 'vms',
       waitMs: VMS_WATCH_TIMEOUT_MS,
       pauseMs: VMS_WATCH_PAUSE_MS,
-      applyListing: ({ items }) => {
+      applyListing: listing => {
         this.#options.state.hasMemberList = true
-        for (const item of items) this.#addEntry(item.value)
+        for (const item of listing.items) this.#addEntry(item.value)
+        if (listing.asOf.epoch > 0) this.#deleteLeftEntries(listing)
       },
       applyChanges: changes => {
         for (const { object, isRemoved } of changes) {
@@ -111,13 +114,13 @@
 
   /** Announces to the other VMs that this VM leaves the fleet, and removes its entry from the store. */
   async stop (): Promise<void> {
-    const { state: { self, members }, store, logger } = this.#options
+    const { state: { self, members }, logger } = this.#options
     this.#isStopped = true
     clearTimeout(this.#roundTimer)
     this.#vmsWatch?.stop()
     for (const vm of members.keys()) this.send(vm, { type: 'left', incarnation: self.incarnation })
     try {
-      if (this.#localEntryRevision !== null) await store.delete('vms', self.vm, this.#localEntryRevision)
+      await this.#deleteLocalEntry()
       logger.info('local vm entry removed', { vm: self.vm })
     } catch (error) {
       logger.info('removal of the local vm entry failed', { reason: String(error) })
@@ -197,7 +200,8 @@
     let isLookupNeeded = mayBeRegistered
     while (!this.#isStopped && (this.#localEntryRevision === null || this.#localEntryRevision.epoch !== store.epochs.current)) {
       try {
-        this.#localEntryRevision = isLookupNeeded ? await this.#replaceLocalEntry() : await store.write('vms', self.vm, self, null)
+        this.#registrationAttempt = isLookupNeeded ? this.#replaceLocalEntry() : store.write('vms', self.vm, self, null)
+        this.#localEntryRevision = await this.#registrationAttempt
         logger.info('local vm entry registered', { vm: self.vm, epoch: this.#localEntryRevision.epoch })
       } catch (error) {
         const isFirstConflict = error instanceof RevisionConflictError && !isLookupNeeded
@@ -216,6 +220,31 @@
     return found !== undefined && isDeepStrictEqual(found.value, self) ? found.revision : await store.write('vms', self.vm, self, found?.revision ?? null)
   }
 
+  /** Deletes this VM's entry, also if it is being written, or the store has returned from an older copy since it was. */
+  async #deleteLocalEntry (): Promise<void> {
+    const { store, state: { self } } = this.#options
+    await this.#registrationAttempt?.catch(() => {}) // Its failure has been logged.
+    try {
+      if (this.#localEntryRevision !== null) await store.delete('vms', self.vm, this.#localEntryRevision)
+    } catch (error) {
+      if (!(error instanceof EpochChangedError)) throw error
+      const found = await store.find('vms', self.vm)
+      if (found !== undefined && isDeepStrictEqual(found.value, self)) await store.delete('vms', self.vm, found.revision)
+    }
+  }
+
+  /** Deletes the entries of VMs that have left the fleet, which an older copy of the store has again. The first VM in rank does so. */
+  #deleteLeftEntries ({ items }: Listing<unknown>): void {
+    const { state, store, clock, logger } = this.#options
+    for (const { name, value, revision } of items) {
+      const parsed = vmEntrySchema.safeParse(value)
+      const hasLeft = parsed.success && parsed.data.incarnation <= (state.left.get(name) ?? -Infinity)
+      if (!hasLeft || computeRank(state, name, clock.readNow()) > 0) continue
+      logger.info('entry of a vm that has left deleted, the metadata store has returned from an older copy', { vm: name })
+      store.delete('vms', name, revision).catch((error: unknown) => logger.info('deletion of the entry of a vm that has left failed', { vm: name, reason: String(error) }))
+    }
+  }
+
   /** Removes VMs that have left polls unanswered for so long that they are taken as stopped for good. */
   #removeUnresponsiveMembers (): void {
     const { state, clock, store, logger } = this.#options
