Let the store's content replace that of the same version from another VM

A VM that had read an earlier version in the present epoch and then got a later one from another VM kept that VM's content for good, though the store had other content under the same number: the version counted as seen in the epoch in which the earlier one was read. What another VM sends is of no epoch now, so the first reading from the store decides. The new test failed before (key 'first' instead of 'other').

--- a/packages/gateway/src/configuration/configuration-holder.test.ts
+++ b/packages/gateway/src/configuration/configuration-holder.test.ts
@@ -41,4 +41,12 @@
     holder.apply(createConfiguration(10, []), 'vm b')
     expect(holder.version).to.equal(10)
   })
+
+  it('from another VM is replaced by other content of the same version that the store has in its epoch', () => {
+    const { holder } = createHolder()
+    holder.apply(createConfiguration(7, ['earlier']), 'list', 1)
+    holder.apply(createConfiguration(9, ['first']), 'vm b')
+    holder.apply(createConfiguration(9, ['other']), 'watch', 1)
+    expect(holder.current?.workspaces[0]?.keys).to.deep.equal(['other'])
+  })
 })
--- a/packages/gateway/src/configuration/configuration-holder.ts
+++ b/packages/gateway/src/configuration/configuration-holder.ts
@@ -2,11 +2,13 @@
 import type { Logger } from '@camphorpitch/wire'
 import type { Configuration } from './configuration.ts'
 
+const NO_EPOCH = -1
+
 /** Holds the configuration in use, which is only ever replaced by a later version. */
 export class ConfigurationHolder {
   #current: Configuration | null = null
-  /** Latest epoch of the metadata store in which the current configuration was seen. */
-  #epoch = 0
+  /** Latest epoch of the metadata store in which the current configuration was seen; `NO_EPOCH` while only another VM has sent it. */
+  #epoch = NO_EPOCH
   readonly #logger: Logger
   readonly #listeners: Array<(configuration: Configuration) => void> = []
 
@@ -34,7 +36,7 @@
     if (this.#current !== null && !this.#isLater(configuration, this.#current, source, epoch)) return
     this.#logger.info('configuration applied', { version: configuration.version, previousVersion: this.#current?.version, source, routes: configuration.routes.length, workspaces: configuration.workspaces.length })
     this.#current = configuration
-    this.#epoch = epoch ?? this.#epoch
+    this.#epoch = epoch ?? NO_EPOCH
     for (const listener of [...this.#listeners]) listener(configuration)
   }
 
