Hold the first configuration back on a VM that starts after the store returned from an older copy

Such a VM served the version that the copy has, with keys and routes that had been withdrawn, until the operator wrote the later version again or the watch of the next second brought it: a client with a withdrawn key got in (CONFIG, ROUTE).

In an epoch above 0 the first configuration waits until another VM reports its version; a later one is requested from that VM as before. Without any report it is used after 2 s, with an unanswered later one after 5 s. A fleet that starts as a whole in an epoch above 0 waits for the 2 s; in epoch 0 nothing changes. Ruled out: asking only VMs whose entries the copy has, since it may lack them.

--- a/packages/gateway/src/configuration/configuration-holder.ts
+++ b/packages/gateway/src/configuration/configuration-holder.ts
@@ -4,16 +4,39 @@
 
 const NO_EPOCH = -1
 
-/** Holds the configuration in use, which is only ever replaced by a later version. */
+export interface ConfigurationHolderOptions {
+  /** How long a first configuration from a later epoch is held back if no other VM reports a version, in milliseconds. */
+  holdMs?: number
+  /** The same if another VM has reported a later version, which is then requested from it, in milliseconds. */
+  holdForLaterMs?: number
+}
+
+/** Time in which what an older copy lacks is written again. */
+const DEFAULT_HOLD_MS = 2_000
+/** A large configuration takes a second from another VM over a slow link. */
+const DEFAULT_HOLD_FOR_LATER_MS = 5_000
+
+/**
+ * Holds the configuration in use, which is only ever replaced by a later version.
+ *
+ * A VM that starts after the store has returned from an older copy doesn't know whether the copy lacks a later version. It
+ * holds its first configuration back until another VM has reported its version, or for a short time.
+ */
 export class ConfigurationHolder {
   #current: Configuration | null = null
   /** Latest epoch of the metadata store in which the current configuration was seen; `NO_EPOCH` while only another VM has sent it. */
   #epoch = NO_EPOCH
   readonly #logger: Logger
+  readonly #options: Required<ConfigurationHolderOptions>
   readonly #listeners: Array<(configuration: Configuration) => void> = []
+  /** The latest version that another VM has reported; 0 before the first. */
+  #reportedVersion = 0
+  /** The first configuration while it is held back. */
+  #held: { configuration: Configuration, source: string, epoch: number } | undefined
 
-  constructor (logger: Logger) {
+  constructor (logger: Logger, { holdMs = DEFAULT_HOLD_MS, holdForLaterMs = DEFAULT_HOLD_FOR_LATER_MS }: ConfigurationHolderOptions = {}) {
     this.#logger = logger
+    this.#options = { holdMs, holdForLaterMs }
   }
 
   get current (): Configuration | null {
@@ -33,6 +56,39 @@
    * @param epoch the store's epoch in which the configuration was read; absent if another VM sent it
    */
   apply (configuration: Configuration, source: string, epoch?: number): void {
+    const mayBeOutdated = this.#current === null && epoch !== undefined && epoch > 0
+    if (mayBeOutdated && !this.#isReported(configuration)) this.#setHeld(configuration, source, epoch)
+    else this.#apply(configuration, source, epoch)
+  }
+
+  /** Records which version another VM has in use; 0 if it has none. */
+  recordReportedVersion (version: number): void {
+    this.#reportedVersion = Math.max(this.#reportedVersion, version)
+    if (this.#held !== undefined && this.#isReported(this.#held.configuration)) this.#applyHeld()
+  }
+
+  /** Whether another VM has reported a version, and none a later one than this. */
+  #isReported ({ version }: Configuration): boolean {
+    return this.#reportedVersion > 0 && this.#reportedVersion <= version
+  }
+
+  #setHeld (configuration: Configuration, source: string, epoch: number): void {
+    const isFirst = this.#held === undefined
+    if (this.#held === undefined || configuration.version >= this.#held.configuration.version) this.#held = { configuration, source, epoch }
+    if (!isFirst) return
+    this.#logger.info('configuration held back until another vm reports its version, the metadata store has returned from an older copy', { version: configuration.version, epoch })
+    const { holdMs, holdForLaterMs } = this.#options
+    setTimeout(() => { if (this.#reportedVersion === 0) this.#applyHeld() }, holdMs).unref()
+    setTimeout(() => this.#applyHeld(), holdForLaterMs).unref()
+  }
+
+  #applyHeld (): void {
+    if (this.#held === undefined || this.#current !== null) return
+    const { configuration, source, epoch } = this.#held
+    this.#apply(configuration, source, epoch)
+  }
+
+  #apply (configuration: Configuration, source: string, epoch?: number): void {
     if (this.#current !== null && !this.#isLater(configuration, this.#current, source, epoch)) return
     this.#logger.info('configuration applied', { version: configuration.version, previousVersion: this.#current?.version, source, routes: configuration.routes.length, workspaces: configuration.workspaces.length })
     this.#current = configuration
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -114,6 +114,7 @@
 
   #applyReport (vm: string, report: Report, pollSentAtMs: number): void {
     const { configuration, groups, quotas, clock, logger } = this.#options
+    configuration.recordReportedVersion(report.configurationVersion)
     if (applyReportedVersion(this.#configurationFetch, report.configurationVersion, configuration.version, clock.readNow())) {
       logger.info('configuration requested from another vm', { vm, version: report.configurationVersion, localVersion: configuration.version })
       this.#fleet?.send(vm, { type: 'configurationWanted' })
