Don't take a limit for this VM's own alone because the store's copy lacks the other VMs

A VM that started right after a return listed only the VMs whose entries the copy has, and computed its shares of the limits from their number: alone in the list, a new VM admitted a whole burst beside the other VMs' shares, until they had written their entries again and its next listing or a poll told it of them. Members of running VMs were safe, as a listing removes none.

After a first listing in an epoch above 0 the share is at most that of a fleet of nine, for 2 s or until all listed VMs have answered; one that has run for longer tells of the others then. In epoch 0 nothing changes.

--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -20,6 +20,8 @@
 /** Pause between two watches of the VM entries: when a whole fleet starts, every VM that registers changes them. */
 const VMS_WATCH_PAUSE_MS = 1_500
 const REGISTRATION_RETRY_DELAY_MS = 700
+/** Time in which all VMs have written their entries again after the store has returned from an older copy. */
+const REGISTRATION_TIME_MS = 2_000
 /** Time for the `left` messages to be sent before the process ends. */
 const LEFT_MESSAGE_FLUSH_MS = 30
 /** Rounds of polls between two removals of unresponsive VMs. */
@@ -80,7 +82,9 @@
       waitMs: VMS_WATCH_TIMEOUT_MS,
       pauseMs: VMS_WATCH_PAUSE_MS,
       applyListing: listing => {
-        this.#options.state.hasMemberList = true
+        const { state, clock } = this.#options
+        if (!state.hasMemberList && listing.asOf.epoch > 0) state.incompleteUntilMs = clock.readNow() + REGISTRATION_TIME_MS
+        state.hasMemberList = true
         for (const item of listing.items) this.#addEntry(item.value)
         if (listing.asOf.epoch > 0) this.#deleteLeftEntries(listing)
       },
--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -32,10 +32,12 @@
   changes: number
   /** Whether the members have been listed by the store, or by a VM that knew the store's list. */
   hasMemberList: boolean
+  /** Until when VMs may be missing among the members, as they were first listed by a store that has returned from an older copy. */
+  incompleteUntilMs: number
 }
 
 export function createMemberState (self: VmEntry): MemberState {
-  return { self, members: new Map(), left: new Map(), changes: 0, hasMemberList: false }
+  return { self, members: new Map(), left: new Map(), changes: 0, hasMemberList: false, incompleteUntilMs: -Infinity }
 }
 
 /**
@@ -92,6 +94,12 @@
   return [...state.members.values()].filter(m => isResponsive(m, nowMs))
 }
 
+/** Whether the members are all VMs that run, as far as is known. So once all of them have answered, as one that has run for longer tells which others there are. */
+export function hasAllMembers (state: MemberState, nowMs: number): boolean {
+  const all = [...state.members.values()]
+  return nowMs >= state.incompleteUntilMs || (all.length > 0 && all.every(m => isResponsive(m, nowMs)))
+}
+
 /** Lists the VMs that may be running: all but those that have left polls unanswered for long. */
 export function listPossiblyRunning (state: MemberState, nowMs: number): Member[] {
   return [...state.members.values()].filter(m => measureUnansweredMs(m, nowMs) < PRESUMED_STOPPED_AFTER_MS)
--- a/packages/gateway/src/limits/quota-counter.ts
+++ b/packages/gateway/src/limits/quota-counter.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@camphorpitch/wire'
 import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
-import { isResponsive, type MemberState } from '../fleet/members.ts'
+import { hasAllMembers, isResponsive, type MemberState } from '../fleet/members.ts'
 import type { GatewaySettings } from '../settings.ts'
 import type { Permit, Permitted } from '../fleet/message-schemas.ts'
 import { MAX_VMS_ALL_COUNTING, type CountingVms } from './counting-vms.ts'
@@ -111,11 +111,12 @@
   }
 
   #describeFleet (hasAllReports: boolean): FleetDemand {
-    const { members, counting, settings } = this.#options
+    const { members, counting, settings, clock } = this.#options
     if (counting.isLargeFleet) return createLargeFleetDemand(this.#demandShares, workspace => counting.isCounting(workspace))
     const knownVms = members.members.size + 1
     // Until this VM has received the list of members, there may be VMs that it does not know.
-    const vmCount = members.hasMemberList || settings.isFirstStart ? knownVms : Math.max(knownVms, MAX_VMS_ALL_COUNTING)
+    const areAllKnown = (members.hasMemberList || settings.isFirstStart) && hasAllMembers(members, clock.readNow())
+    const vmCount = areAllKnown ? knownVms : Math.max(knownVms, MAX_VMS_ALL_COUNTING)
     return createFleetDemand(this.#demandShares, vmCount, hasAllReports)
   }
 
