--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -22,6 +22,7 @@
 import { QuotaRecord } from './limits/quota-record.ts'
 import { QuotaCounter } from './limits/quota-counter.ts'
 import type { MetadataStore } from './metadata/metadata-store.ts'
+import { reportEpochs } from './metadata/report-epochs.ts'
 import { watchKind } from './metadata/watch-kind.ts'
 import { ClientSession } from './sessions/client-session.ts'
 import { GatewaySessionHost } from './sessions/gateway-session-host.ts'
@@ -176,8 +177,8 @@
 
 function startWatches ({ adapters: { store }, logger, clock, metrics, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
   const handleStoreRecovery = (): void => recordStoreRecovery(directory, clock.readNow())
-  store.epochs.subscribe(change => {
-    logger.warn('metadata store returned from an older copy', { ...change, configurationVersion: configuration.version })
+  reportEpochs({ store, logger, describeState: () => ({ configurationVersion: configuration.version }) })
+  store.epochs.subscribe(() => {
     metrics.storeEpochChanges.inc()
     recordOlderCopy(directory, clock.readNow())
   })
--- a/packages/gateway/src/metadata/metadata-store.ts
+++ b/packages/gateway/src/metadata/metadata-store.ts
@@ -44,6 +44,17 @@
  */
 export abstract class MetadataStore {
   readonly epochs = new EpochTracker()
+  /** Objects that this VM has written in the latest epoch. */
+  readonly #written = new Set<string>()
+
+  constructor () {
+    this.epochs.subscribe(() => this.#written.clear())
+  }
+
+  /** Lists the objects that this VM has written in the latest epoch, as `kind/name`. */
+  listWritten (): string[] {
+    return [...this.#written]
+  }
 
   /** Lists all objects of a kind. */
   abstract list<K extends ObjectKind> (kind: K): Promise<Listing<ObjectKinds[K]>>
@@ -69,6 +80,7 @@
     this.#checkEpoch(epoch)
     const written = await this.sendWrite(kind, name, value, revision?.number ?? null)
     this.#checkEpoch(epoch)
+    this.#written.add(`${kind}/${name}`)
     return written
   }
 
