--- a/packages/gateway/src/failover/decide-promotion.test.ts
+++ b/packages/gateway/src/failover/decide-promotion.test.ts
@@ -12,6 +12,7 @@
   pendingWriteMs: 0,
   sinceAcknowledgedMs: 50,
   withoutPrimaryMs: 0,
+  leftPausedMs: 0,
   isIsolated: false,
   rank: 0,
   hasCandidate: true
@@ -44,6 +45,12 @@
     expect(findPromotionReason({ ...healthy, hasPrimary: false, withoutPrimaryMs: 3_000 })).to.equal('no primary')
   })
 
+  it('resumes replicas that a promotion has left paused, after the reasons to replace the primary', () => {
+    expect(findPromotionReason({ ...healthy, leftPausedMs: 1_500 })).to.equal(null)
+    expect(findPromotionReason({ ...healthy, leftPausedMs: 2_500 })).to.equal('replicas left paused')
+    expect(findPromotionReason({ ...healthy, leftPausedMs: 2_500, unresponsiveMs: 800, sinceLastResponseMs: 800 })).to.equal('primary lost')
+  })
+
   it('finds none without a candidate, or while the VM reaches no other VM', () => {
     const lost = { ...healthy, unresponsiveMs: 5_000, sinceLastResponseMs: 5_000 }
     expect(findPromotionReason({ ...lost, hasCandidate: false })).to.equal(null)
--- a/packages/gateway/src/failover/decide-promotion.ts
+++ b/packages/gateway/src/failover/decide-promotion.ts
@@ -8,6 +8,8 @@
 const STALLED_WRITES_TIMEOUT_MS = 1_300
 /** A primary is chosen if none has been known for this long. */
 const NO_PRIMARY_TIMEOUT_MS = 2_500
+/** Replicas found paused for this long, while no promotion is known to run, were left so by one whose VM has stopped. */
+const LEFT_PAUSED_TIMEOUT_MS = 2_000
 /** A draining primary is replaced this long after it was first seen to drain. */
 const DRAINING_DELAY_MS = 100
 /** Each VM acts this much later than the VM before it in rank, so that usually one VM attempts the promotion. */
@@ -34,6 +36,8 @@
   /** Time since the primary last acknowledged a write of any VM. */
   sinceAcknowledgedMs: number
   withoutPrimaryMs: number
+  /** For how long this VM has found replicas paused although it knows of no promotion that runs. */
+  leftPausedMs: number
   /** Whether other VMs are known but none of them responds. */
   isIsolated: boolean
   /** Rank of this VM for the service: VMs with a lower rank act first. */
@@ -42,7 +46,7 @@
   hasCandidate: boolean
 }
 
-export type PromotionReason = 'primary lost' | 'primary cut off from its replicas' | 'primary draining' | 'no primary'
+export type PromotionReason = 'primary lost' | 'primary cut off from its replicas' | 'primary draining' | 'no primary' | 'replicas left paused'
 
 /**
  * Finds the reason for which this VM should replace the primary now; `null` if it should not.
@@ -56,7 +60,8 @@
   if (!evidence.hasPrimary) return evidence.withoutPrimaryMs >= NO_PRIMARY_TIMEOUT_MS + delayMs ? 'no primary' : null
   if (isPrimaryLost(evidence, delayMs)) return 'primary lost'
   if (Math.min(evidence.pendingWriteMs, evidence.sinceAcknowledgedMs) >= STALLED_WRITES_TIMEOUT_MS + delayMs) return 'primary cut off from its replicas'
-  return evidence.drainingMs >= DRAINING_DELAY_MS + delayMs ? 'primary draining' : null
+  if (evidence.drainingMs >= DRAINING_DELAY_MS + delayMs) return 'primary draining'
+  return evidence.leftPausedMs >= LEFT_PAUSED_TIMEOUT_MS + delayMs ? 'replicas left paused' : null
 }
 
 function isPrimaryLost ({ isRegistered, unresponsiveMs, connectionRefusedMs, sinceLastResponseMs }: PromotionEvidence, delayMs: number): boolean {
--- a/packages/gateway/src/failover/failover-watch.ts
+++ b/packages/gateway/src/failover/failover-watch.ts
@@ -25,6 +25,8 @@
   members: MemberState
   host: PromotionHost
   listGroups: () => ServiceGroup[]
+  /** Reads for how long replicas of a group have been found paused, in milliseconds; 0 if none is. */
+  measurePausedMs: (group: ServiceGroup) => number
   /** Requests fresh reports from the other VMs. */
   poll: () => void
   /** Called after each attempt: `none` if it promoted no endpoint. */
@@ -103,6 +105,7 @@
       sinceLastResponseMs: nowMs - Math.max(state.lastResponseAtMs, health?.lastResponseAtMs ?? -Infinity, ...peerReports.map(v => v.lastResponseAtMs)),
       pendingWriteMs: Math.max(localPendingMs, ...peerReports.map(v => v.pendingWriteMs)),
       sinceAcknowledgedMs: nowMs - Math.max(state.acknowledgedAtMs, ...peerReports.map(v => v.acknowledgedAtMs)),
+      leftPausedMs: this.#options.measurePausedMs(group),
       withoutPrimaryMs: group.withoutPrimarySinceMs === null ? 0 : nowMs - group.withoutPrimarySinceMs,
       isIsolated: listResponsive(members, nowMs).length === 0 && listPossiblyRunning(members, nowMs).length > 0,
       rank: computeRank(members, group.service, nowMs),
--- a/packages/gateway/src/failover/promotion-orders.test.ts
+++ b/packages/gateway/src/failover/promotion-orders.test.ts
@@ -203,4 +203,27 @@
     expect(new Set(vm2.orders.map(o => o.endpoint))).to.deep.equal(new Set(['a']))
     expect(attempts).to.include('a')
   })
+
+  describe('that was never sent because its VM died', () => {
+    it('leaves no replica paused for good while the primary leads', async () => {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      vm2.commit()
+      await fleet.advance(50)
+      vm1.connector.unreachable.add('p')
+      vm1.unreachableVms.add('vm2')
+      vm1.promote('primary lost').catch(() => {}) // It ends with its VM.
+      await fleet.advance(500)
+      vm1.kill()
+      expect(fleet.group.find('a').isPaused).to.equal(true)
+      // The claim of a VM that has stopped may be taken over only after it was seen unchanged for some time.
+      await vm2.promote('replicas left paused').catch(() => null)
+      await fleet.advance(5_000)
+      const attempt = vm2.promote('replicas left paused')
+      await fleet.advance(1_000)
+      expect(await attempt).to.equal(null)
+      expect([...fleet.group.endpoints.values()].filter(e => e.isPaused)).to.deep.equal([])
+      expect(fleet.group.find('p').role).to.equal('primary')
+    })
+  })
 })
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -1,7 +1,7 @@
 import { comparePositions, describeError, pickLaterPosition } from '@camphorpitch/wire'
 import { formatStart, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
-import { ensureLatestPrimary } from './check-leadership.ts'
+import { ensureLatestPrimary, ensureNotReplaced } from './check-leadership.ts'
 import { pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
 import { fencePlannedChange, fenceReplicas, updateTerm, waitForLeases, type FencedGroup } from './fence-group.ts'
 import { requestPromotion } from './order-promotion.ts'
@@ -40,7 +40,8 @@
   host.logger.warn('promotion started', { service: group.service, reason, oldPrimary: oldPrimary?.endpoint, term, fencingToken: claim.fencingToken, openOrder })
   let promoted: string | null = null
   try {
-    promoted = await promoteCandidate(attempt)
+    const isIntact = reason === 'replicas left paused' && openOrder === null && await isPrimaryLeading(attempt)
+    if (!isIntact) promoted = await promoteCandidate(attempt)
   } catch (error) {
     host.logger.error('promotion attempt failed', { service: group.service, error: describeError(error) })
   }
@@ -49,6 +50,15 @@
   return promoted
 }
 
+/** Whether the primary still leads, and no endpoint has a later term: then the replicas only need to be resumed. */
+async function isPrimaryLeading (attempt: Attempt): Promise<boolean> {
+  const { oldPrimary, replicas, knownPrimary } = attempt
+  if (oldPrimary === undefined) return false
+  const statuses = await runOnAll(attempt, [oldPrimary, ...replicas], async c => await c.readStatus())
+  ensureNotReplaced(attempt, statuses)
+  return statuses.some(({ entry, status }) => entry === oldPrimary && status.role === 'primary' && status.term === knownPrimary?.term)
+}
+
 async function promoteCandidate (attempt: Attempt): Promise<string | null> {
   const { host, group, reason } = attempt
   const isPlanned = reason === 'primary draining'
