--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -141,6 +141,16 @@
   return nowMs < state.revokedUntilMs
 }
 
+/** Whether the endpoint is the known primary and its leadership is verified and not revoked. */
+export function hasLeadershipLease (state: GroupState, endpoint: string, nowMs: number): boolean {
+  return state.primary?.endpoint === endpoint && nowMs <= state.leadershipLeaseEndsMs && !isLeadershipRevoked(state, nowMs)
+}
+
+/** Measures the age of the latest proof of the primary's leadership, in milliseconds; `null` if there is none. */
+export function measureLeaseAgeMs ({ leadershipLeaseEndsMs }: GroupState, nowMs: number): number | null {
+  return leadershipLeaseEndsMs === -Infinity ? null : nowMs - (leadershipLeaseEndsMs - LEADER_LEASE_MS)
+}
+
 /** Whether the primary's log holds every write acknowledged up to `maxStalenessMs` ago. */
 export function isPrimaryFresh (state: GroupState, maxStalenessMs: number, nowMs: number): boolean {
   return nowMs - maxStalenessMs <= state.leadershipLeaseEndsMs
--- a/packages/gateway/src/sessions/gateway-session-host.ts
+++ b/packages/gateway/src/sessions/gateway-session-host.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
 import type { FailoverWatch } from '../failover/failover-watch.ts'
 import type { LeadershipVerifier } from '../failover/verify-leadership.ts'
+import { isLeadershipRevoked, measureLeaseAgeMs } from '../freshness/group-state.ts'
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { PermitClient } from '../limits/permit-requests.ts'
@@ -119,7 +120,7 @@
   }
 
   #createContext (): StatementContext {
-    const { settings: { failureDomain, regions }, clock, logger, leadershipVerifier, failover } = this.#options
+    const { settings: { failureDomain, regions }, clock, logger, metrics, leadershipVerifier, failover } = this.#options
     return {
       clock,
       location: { failureDomain, regions },
@@ -146,6 +147,23 @@
           outcome: response.error?.code ?? 'answered'
         })
       },
+      recordUnleasedResponse: (operation, group, { entry: { endpoint } }, response, outcome) => {
+        const nowMs = clock.readNow()
+        const leaseAgeMs = measureLeaseAgeMs(group.state, nowMs)
+        metrics.unleasedResponses.inc({ service: group.service, outcome })
+        logger.warn('endpoint responded to a write without a leadership lease', {
+          id: operation.statement.id,
+          type: operation.statement.type,
+          service: group.service,
+          endpoint,
+          position: response.position,
+          error: response.error?.code,
+          primary: group.state.primary,
+          leaseAgeMs: leaseAgeMs === null ? null : Math.round(leaseAgeMs),
+          isRevoked: isLeadershipRevoked(group.state, nowMs),
+          outcome
+        })
+      },
       logNoResponse: (operation, pool, reason) => logger.warn('endpoint did not respond to statement', { id: operation.statement.id, type: operation.statement.type, endpoint: pool.entry.endpoint, reason, unansweredMs: pool.health.unansweredSinceMs === null ? 0 : Math.round(clock.readNow() - pool.health.unansweredSinceMs) })
     }
   }
--- a/packages/gateway/src/statements/pinned-transaction.ts
+++ b/packages/gateway/src/statements/pinned-transaction.ts
@@ -5,6 +5,7 @@
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
 import { PoolError } from '../pool/errors.ts'
 import type { PooledConnection } from '../pool/pooled-connection.ts'
+import { runLeasedWrite } from './leased-write.ts'
 import { computeTimeLeftMs, computeWaitMs, createRetryRefusal, readMaxStalenessMs, type Operation, type Outcome } from './operation.ts'
 import { findReadTarget, type ReadTarget } from './read-targets.ts'
 import { LAGGING_AVOID_MS } from './run-read.ts'
@@ -105,7 +106,9 @@
     for (let attemptCount = 1; ; attemptCount++) {
       this.#connection.restoreSession(requiredState, preparedName)
       const timeLeftMs = computeTimeLeftMs(operation, clock.readNow())
-      const response = await this.#group.runStatement(this.pool, isWrite, timeLeftMs, async () => await this.#connection.run(statement.id, statement.text, null))
+      const response = isWrite
+        ? await runLeasedWrite(this.#context, this.#group, operation, this.pool, this.#connection)
+        : await this.#group.runStatement(this.pool, false, timeLeftMs, async () => await this.#connection.run(statement.id, statement.text, null))
       const canRetry = response.error?.code === 'busy' && response.state === 'open' && attemptCount < MAX_BUSY_ATTEMPTS
       if (!canRetry || computeTimeLeftMs(operation, clock.readNow()) < 2 * BUSY_BACKOFF_MS) return response
       await new Promise(resolve => setTimeout(resolve, BUSY_BACKOFF_MS * attemptCount))
--- a/packages/gateway/src/statements/run-write.ts
+++ b/packages/gateway/src/statements/run-write.ts
@@ -3,7 +3,8 @@
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
 import { PoolError } from '../pool/errors.ts'
 import type { PooledConnection } from '../pool/pooled-connection.ts'
-import { computeTimeLeftMs, computeWaitMs, createRetryRefusal, type Operation, type Outcome } from './operation.ts'
+import { runLeasedWrite } from './leased-write.ts'
+import { computeWaitMs, createRetryRefusal, type Operation, type Outcome } from './operation.ts'
 import type { StatementContext } from './statement-context.ts'
 
 /** Retry time given to the client when no connection to the primary is free, in milliseconds. */
@@ -44,11 +45,10 @@
   const acquired = await acquirePrimaryConnection(context, group, operation)
   if ('refusal' in acquired) return acquired
   const { pool, connection } = acquired
-  const { requiredState, preparedName, statement } = operation
+  const { requiredState, preparedName } = operation
   const restoreResponses = connection.restoreSession(requiredState, preparedName)
   try {
-    const timeLeftMs = computeTimeLeftMs(operation, context.clock.readNow())
-    const response = await group.runStatement(pool, true, timeLeftMs, async () => await connection.run(statement.id, statement.text, null))
+    const response = await runLeasedWrite(context, group, operation, pool, connection)
     await Promise.all(restoreResponses)
     pool.release(connection, response.state === 'idle')
     context.logResponse(operation, pool, null, response)
--- a/packages/gateway/src/statements/statement-context.ts
+++ b/packages/gateway/src/statements/statement-context.ts
@@ -5,6 +5,9 @@
 import type { Operation } from './operation.ts'
 import type { VmLocation } from './read-targets.ts'
 
+/** What became of a response that arrived without a lease of the primary's leadership. */
+export type UnleasedOutcome = 'passed on' | 'verified' | 'in doubt'
+
 /** What the functions that run statements need from the other components of this VM. */
 export interface StatementContext {
   clock: Clock
@@ -19,6 +22,8 @@
   rollbackTimeoutMs: number
   /** Logs an endpoint's response to a statement, also when it is an error. */
   logResponse: (operation: Operation, pool: EndpointPool, requiredPosition: LogPosition | null, response: EndpointResponse) => void
+  /** Logs and counts an endpoint's response to a write or commit that arrived while the primary's leadership was revoked or not verified. */
+  recordUnleasedResponse: (operation: Operation, group: ServiceGroup, pool: EndpointPool, response: EndpointResponse, outcome: UnleasedOutcome) => void
   /** Logs that an endpoint did not respond to a statement. */
   logNoResponse: (operation: Operation, pool: EndpointPool, reason: string) => void
 }
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -9,6 +9,7 @@
   refusals: Counter<'service' | 'code'>
   quotaRefusals: Counter<'workspace'>
   uncountedRefusals: Counter
+  unleasedResponses: Counter<'service' | 'outcome'>
   connectionsOpened: Counter<'service'>
   promotions: Counter<'service' | 'result'>
   sessions: Gauge
@@ -28,6 +29,7 @@
     refusals: new Counter({ name: 'camphorpitch_gateway_refusals_total', help: 'Statements answered with an error, by code', labelNames: ['service', 'code'], registers }),
     quotaRefusals: new Counter({ name: 'camphorpitch_gateway_quota_refusals_total', help: 'Operations refused for the workspace\'s rate', labelNames: ['workspace'], registers }),
     uncountedRefusals: new Counter({ name: 'camphorpitch_gateway_uncounted_refusals_total', help: 'Operations refused as no VM that counts the workspace\'s rate answered', registers }),
+    unleasedResponses: new Counter({ name: 'camphorpitch_gateway_unleased_responses_total', help: 'Responses to writes and commits that arrived while the primary\'s leadership was revoked or not verified, by what became of them', labelNames: ['service', 'outcome'], registers }),
     connectionsOpened: new Counter({ name: 'camphorpitch_gateway_connections_opened_total', help: 'Connections opened to endpoints', labelNames: ['service'], registers }),
     promotions: new Counter({ name: 'camphorpitch_gateway_promotions_total', help: 'Promotions attempted by this VM', labelNames: ['service', 'result'], registers }),
     sessions: new Gauge({ name: 'camphorpitch_gateway_sessions', help: 'Open client sessions', registers }),
