Have a simulated VM's clients write through the product's code

A commit of the simulation bypassed routing, pool, and what decides whether a success is passed on to a client. It now runs `runWrite` on a connection of the product's pool. The record of acknowledged commits stays as it was: what an endpoint acknowledged on a connection that is open to a running VM. In addition a description of lost commits tells how many of them were passed on to clients, and a success that no endpoint acknowledged is an error.

A VM that leaves tells the others as it does in the product.

--- a/packages/gateway/src/testing/simulated-group.ts
+++ b/packages/gateway/src/testing/simulated-group.ts
@@ -82,8 +82,10 @@
 /** A group of endpoints whose commits are acknowledged once one replica has received them. */
 export class SimulatedGroup {
   readonly endpoints = new Map<string, SimulatedEndpoint>()
-  /** Positions of the commits that were acknowledged to a client. */
+  /** Positions of the commits whose acknowledgement reached a running VM on a connection that was open. */
   readonly acknowledged: LogPosition[] = []
+  /** Those of them whose success a VM passed on to its client. */
+  readonly #passedOn = new Set<string>()
   /** Descriptions of acknowledged commits that an endpoint lacked when it was promoted. */
   readonly lost: string[] = []
   #pendingCommits: PendingCommit[] = []
@@ -112,6 +114,12 @@
     this.#pendingCommits.push({ primary, position, handleAcknowledged })
   }
 
+  /** Records that a VM told its client that a commit succeeded. */
+  recordPassedOn (position: LogPosition): void {
+    if (!this.acknowledged.some(p => comparePositions(p, position) === 0)) this.lost.push(`${formatPosition(position)} was passed on although no endpoint had acknowledged it`)
+    this.#passedOn.add(formatPosition(position))
+  }
+
   /** Replicates entries, at most `count` to each replica, and acknowledges the commits that a replica has received. */
   runReplication (count = Infinity): void {
     const running = [...this.endpoints.values()].filter(e => e.isRunning)
@@ -135,8 +143,9 @@
   promote (name: string, orderedAtMs = Infinity): void {
     const candidate = this.endpoints.get(name)
     if (candidate?.isRunning !== true || candidate === this.leader || candidate.startedAtMs > orderedAtMs) return
-    const missing = this.acknowledged.filter(p => !candidate.hasReceived(p)).map(p => `${p.term}.${p.index}`)
-    if (missing.length > 0) this.lost.push(`${name} lacks ${missing.length > 6 ? `${missing.length} commits, ${missing[0]!} to ${missing.at(-1)!}` : missing.join(', ')}`)
+    const missing = this.acknowledged.filter(p => !candidate.hasReceived(p)).map(formatPosition)
+    const passedOnCount = missing.filter(p => this.#passedOn.has(p)).length
+    if (missing.length > 0) this.lost.push(`${name} lacks ${missing.length > 6 ? `${missing.length} commits, ${missing[0]!} to ${missing.at(-1)!}` : missing.join(', ')}; ${passedOnCount} of them were passed on to clients`)
     const term = Math.max(...[...this.endpoints.values()].map(e => e.term)) + 1
     Object.assign(candidate, { role: 'primary', term, isPaused: false, pausedForTerm: 0 })
     setTimeout(() => {
@@ -145,6 +154,10 @@
   }
 }
 
+function formatPosition ({ term, index }: LogPosition): string {
+  return `${term}.${index}`
+}
+
 /** Connects one VM to the endpoints of a simulated group. */
 export class SimulatedConnector extends EndpointConnector {
   /** Endpoints that the VM does not reach. */
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -1,24 +1,31 @@
 import { createLogger, createSeededRandom, type Logger } from '@camphorpitch/wire'
-import { EndpointConnector } from '../backend/endpoint-connector.ts'
+import { EndpointConnector, type EndpointConnection, type EndpointResponse } from '../backend/endpoint-connector.ts'
+import { ConnectionLostError } from '../backend/errors.ts'
 import { Promoter, type PromotionOrder, type PromotionResult } from '../backend/promoter.ts'
+import type { Route } from '../configuration/configuration.ts'
 import type { PromotionReason } from '../failover/decide-promotion.ts'
 import { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import { ControlConnections } from '../failover/control-connections.ts'
 import { DutyClaims } from '../failover/duty-claim.ts'
+import { LeadershipVerifier } from '../failover/verify-leadership.ts'
 import { runPromotion, type PromotionHost } from '../failover/run-promotion.ts'
 import { FleetMessageHandler, type FleetMessageHandlerOptions } from '../fleet/fleet-message-handler.ts'
 import { addMember, createMemberState, recordLeft, recordPoll, recordReport, type MemberState } from '../fleet/members.ts'
 import type { FleetMessage } from '../fleet/message-schemas.ts'
-import { isLeadershipRevoked } from '../freshness/group-state.ts'
 import { ServiceGroup } from '../groups/service-group.ts'
 import { MetadataError } from '../metadata/errors.ts'
 import type { Revision } from '../metadata/revision.ts'
+import type { Operation, Outcome } from '../statements/operation.ts'
+import { runWrite } from '../statements/run-write.ts'
+import type { StatementContext } from '../statements/statement-context.ts'
 import { MemoryStore, type MemoryStoreState } from './memory-store.ts'
 import { SimulatedConnector, SimulatedGroup } from './simulated-group.ts'
 import { VirtualTime } from './virtual-time.ts'
 
 const MESSAGE_DELAY_MS = 3
+const MAX_OPEN_CONNECTIONS = 1_000
 const STATEMENT_TIMEOUT_MS = 2_000
+const ROUTE: Route = { name: 'r', database: 'd', service: 's', consistency: 'primary', statementTimeoutMs: STATEMENT_TIMEOUT_MS, objectiveMs: 400, priority: 1, maxStalenessMs: 0, isPublic: false }
 
 /** VMs with their own views of a simulated group, which run the product's promotions. */
 export class SimulatedFleet {
@@ -86,6 +93,9 @@
   isStoreReachable = true
   /** Time from an order of this VM to its effect. */
   promotionDelayMs = 400
+  /** What the product's code for statements needs of this VM. */
+  readonly context: StatementContext
+  #writeCount = 0
   readonly #fleet: SimulatedFleet
   readonly #host: PromotionHost
   readonly #handler: FleetMessageHandler
@@ -98,13 +108,15 @@
     this.members = createMemberState({ vm: name, host: '127.0.0.1', port: 1, failureDomain: 'north', region: 'r', incarnation: Date.now() })
     this.members.hasMemberList = true
     this.connector = new SimulatedConnector(fleet.group)
-    this.group = new ServiceGroup({ service: 's', connector: new IdleConnector(), clock: time, logger, readLimits: () => ({ retainedConnections: 0, maxOpenConnections: 0 }), recordOpened: () => {} })
+    this.group = new ServiceGroup({ service: 's', connector: new SimulatedStatementConnector(fleet.group, this), clock: time, logger, readLimits: () => ({ retainedConnections: 0, maxOpenConnections: MAX_OPEN_CONNECTIONS }), recordOpened: () => {} })
     this.#store = new SimulatedStore(fleet.store.state, () => this.isRunning && this.isStoreReachable)
     const inquiries: ClaimInquiries = new ClaimInquiries({ store: this.#store, clock: time, members: this.members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => this.#send(vm, message) })
     const claims: DutyClaims = new DutyClaims({ store: this.#store, clock: time, logger, vm: name, incarnation: this.members.self.incarnation, confirmNoClaims: async (service, epoch) => await inquiries.confirmNoClaims(service, epoch) })
     this.#handler = this.#createHandler(inquiries)
     const promoter = new SimulatedPromoter(fleet, this)
-    this.#host = { clock: time, logger: logger.child({ vm: name }), vm: name, control: new ControlConnections(this.connector), claims, promoter, ...this.#handler.createPromotionCallbacks() }
+    const control = new ControlConnections(this.connector)
+    this.context = this.#createContext(new LeadershipVerifier({ clock: time, logger, control }))
+    this.#host = { clock: time, logger: logger.child({ vm: name }), vm: name, control, claims, promoter, ...this.#handler.createPromotionCallbacks() }
   }
 
   /** Registers endpoints in this VM's view; all of the group by default. */
@@ -125,23 +137,31 @@
 
   /** Ends this VM after it has announced that it leaves the fleet. */
   leave (): void {
-    for (const other of this.#fleet.vms.values()) if (other !== this) recordLeft(other.members, this.name, this.members.self.incarnation)
+    for (const other of this.#fleet.vms.values()) {
+      if (other === this) continue
+      recordLeft(other.members, this.name, this.members.self.incarnation)
+      other.#handler.createHandlers().removeVm(this.name)
+    }
     this.#fleet.vms.delete(this.name)
     this.kill()
   }
 
-  /** Commits a write at the primary that this VM knows. */
+  /** Has a client write at the primary that this VM knows. */
   commit (): void {
-    const { group } = this
-    const pool = group.primaryPool
-    if (pool === undefined || !this.isRunning || isLeadershipRevoked(group.state, this.#fleet.time.readNow()) || this.connector.unreachable.has(pool.entry.endpoint)) return
-    const send = async (): ReturnType<Parameters<ServiceGroup['runStatement']>[3]> => await new Promise(resolve => {
-      this.#fleet.group.commit(this.#fleet.group.find(pool.entry.endpoint), position => {
-        if (this.isRunning) resolve({ rows: [], signature: 'signature', error: null, state: 'idle', position })
-        return this.isRunning
-      })
-    })
-    group.runStatement(pool, true, STATEMENT_TIMEOUT_MS, send).catch(() => {}) // No response in time: the client's outcome is unknown.
+    this.write().catch((error: unknown) => { this.#fleet.group.lost.push(`write failed: ${String(error)}`) })
+  }
+
+  /** Has a client write, by the product's code for writes. Records what is passed on to the client. */
+  async write (): Promise<Outcome | null> {
+    if (!this.isRunning) return null
+    const id = `${this.name}-${++this.#writeCount}`
+    const statement = { id, text: `WRITE ${id}`, type: 'write' as const }
+    const requiredState = { session: this.name, sessionValues: new Map(), preparedStatements: new Map() }
+    const operation: Operation = { statement, requiredState, preparedName: null, workspace: 'w', route: ROUTE, sessionPosition: null, receivedAtMs: this.#fleet.time.readNow() }
+    const outcome = await runWrite(this.context, this.group, operation)
+    const position = 'response' in outcome && outcome.response.error === null ? outcome.response.position : null
+    if (position !== null && this.isRunning) this.#fleet.group.recordPassedOn(position)
+    return outcome
   }
 
   /** Reads at an endpoint, which responds with its position. */
@@ -174,9 +194,23 @@
     }, MESSAGE_DELAY_MS)
   }
 
+  #createContext (verifier: LeadershipVerifier): StatementContext {
+    return {
+      clock: this.#fleet.time,
+      location: { failureDomain: 'north', regions: {} },
+      verifyLeadership: async (group, waitMs) => await verifier.verifyLeadership(group, waitMs),
+      refreshPrimary: () => {},
+      estimateRecoveryMs: () => 0,
+      rollbackTimeoutMs: STATEMENT_TIMEOUT_MS,
+      logResponse: () => {},
+      recordUnleasedResponse: () => {},
+      logNoResponse: () => {}
+    }
+  }
+
   #createHandler (inquiries: ClaimInquiries): FleetMessageHandler {
     const { time, logger } = this.#fleet
-    const quotas = { createDemandReport: () => [], recordVmDemand: () => {} }
+    const quotas = { createDemandReport: () => [], recordVmDemand: () => {}, removeVm: () => {} }
     const options = { clock: time, logger, self: this.members.self, configuration: { subscribe: () => {}, version: 0, current: null }, groups: { find: () => this.group, list: () => [this.group] }, quotas, members: this.members, quotaRecord: {} }
     const handler = new FleetMessageHandler(options as unknown as FleetMessageHandlerOptions)
     const [fleet, failover, permits] = [{ send: (vm: string, message: FleetMessage) => this.#send(vm, message), poll: () => {} }, { recordPrimaryChange: () => {} }, {}]
@@ -228,7 +262,35 @@
   }
 }
 
-/** Opens no connection: statements of the simulation do not use the pool. */
-class IdleConnector extends EndpointConnector {
-  override async connect (): Promise<never> { return await new Promise(() => {}) }
+/** Connects one VM to the endpoints of a simulated group, for the writes of its clients. */
+class SimulatedStatementConnector extends EndpointConnector {
+  readonly #group: SimulatedGroup
+  readonly #vm: SimulatedVm
+
+  constructor (group: SimulatedGroup, vm: SimulatedVm) {
+    super()
+    this.#group = group
+    this.#vm = vm
+  }
+
+  override async connect ({ endpoint }: { endpoint: string }): Promise<EndpointConnection> {
+    const canSend = (): boolean => this.#vm.isRunning && !this.#vm.connector.unreachable.has(endpoint)
+    if (!canSend() || !this.#group.endpoints.has(endpoint)) throw new ConnectionLostError('endpoint does not respond')
+    const connection = {
+      isOpen: true,
+      // A write that does not reach the endpoint, or whose acknowledgement does not reach an open connection of the VM, has no response.
+      run: async () => await new Promise<EndpointResponse>(resolve => {
+        const found = this.#group.endpoints.get(endpoint)
+        if (!canSend() || found === undefined) return
+        this.#group.commit(found, position => {
+          const isReceived = this.#vm.isRunning && connection.isOpen
+          if (isReceived) resolve({ rows: [], signature: 'signature', error: null, state: 'idle', position })
+          return isReceived
+        })
+      }),
+      subscribeClose: () => {},
+      close: () => { connection.isOpen = false }
+    }
+    return connection as unknown as EndpointConnection
+  }
 }
