Count a VM's leaving as a loss of what it knew when it announces it

What callers would see: an acknowledged write missing after a promotion, LOST. A promoter relies on the acknowledged positions that the VMs know only if a commit was acknowledged after a VM last went. It noticed that by comparing the members in each round, so a VM that joined and left between two rounds (500 ms) was never noticed.

The test now commits 50 ms after the start instead of at once, which hid this: `does not rely on the acknowledged positions of the others after the VM has left` failed with `a lacks 1.2`.

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -416,6 +416,7 @@
     async function setUpForgottenCommit (forget: (vm1: SimulatedVm) => void): Promise<SimulatedVm> {
       const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
       for (const vm of [vm1, vm2]) vm.addEndpoints()
+      await fleet.advance(50)
       vm2.commit()
       await fleet.advance(50)
       fleet.group.find('a').isDeaf = true
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -72,6 +72,7 @@
         else this.#handleMessage(vm, message)
       },
       removeVm: vm => {
+        this.#losses.lastLossAtMs = this.#options.clock.readNow()
         quotas.removeVm(vm)
         for (const group of groups.list()) group.peers.delete(vm)
       },
