--- a/packages/gateway/src/backend/errors.ts
+++ b/packages/gateway/src/backend/errors.ts
@@ -12,6 +12,9 @@
   props: { isRefused: false }
 })
 
+/** A statement was given up because its endpoint no longer leads, or can't be shown to. It may have run. */
+export const LeadershipLostError = EndpointError.subclass('LeadershipLostError')
+
 /** The endpoint responded to the connection attempt with the error `code`. */
 export const EndpointRefusedError = EndpointError.subclass('EndpointRefusedError', {
   props: { code: 'failed' as ErrorCode }
--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -463,4 +463,77 @@
       expect(await promoted).to.equal('a')
     })
   })
+
+  describe('while VMs still send writes to the old primary', () => {
+    /** vm2, which does not reach the primary, promotes `a`; the order takes effect after 3 s. Between order and effect `b` restarts, so that it is no longer paused. */
+    async function promoteWithRestart (vm2: SimulatedVm, commit: () => void, restart = (): void => fleet.group.find('b').startAgain()): Promise<string | null> {
+      vm2.connector.unreachable.add('p')
+      vm2.promotionDelayMs = 3_000
+      const promoted = vm2.promote('primary lost')
+      let sinceOrderMs = 0
+      while (sinceOrderMs < 5_000) {
+        if (vm2.orders.length > 0) sinceOrderMs += 20
+        if (sinceOrderMs === 300) restart()
+        commit()
+        await fleet.advance(20)
+      }
+      return await promoted
+    }
+
+    async function setUpVms (): Promise<[SimulatedVm, SimulatedVm]> {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      vm1.commit()
+      await fleet.advance(50)
+      expect(fleet.group.acknowledged).to.have.length(1)
+      return [vm1, vm2]
+    }
+
+    it('loses no commit of a VM that has not heard of the revocation', async () => {
+      const [vm1, vm2] = await setUpVms()
+      vm1.unreachableVms.add('vm2')
+      expect(await promoteWithRestart(vm2, () => vm1.commit())).to.equal('a')
+      expect(fleet.group.lost).to.deep.equal([])
+    })
+
+    it('loses no write that was sent before the revocation and acknowledged after it', async () => {
+      const [vm1, vm2] = await setUpVms()
+      for (const name of ['a', 'b']) fleet.group.find(name).isDeaf = true
+      const pendingWrite = vm1.write()
+      await fleet.advance(50)
+      const promoted = await promoteWithRestart(vm2, () => {}, () => {
+        fleet.group.find('b').startAgain()
+        fleet.group.find('b').isDeaf = false
+      })
+      expect(promoted).to.equal('a')
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await pendingWrite).to.have.nested.property('refusal.code', 'inDoubt')
+    })
+
+    it('loses no commit of a VM that has restarted meanwhile and knows the old primary from the directory', async () => {
+      const [vm1, vm2] = await setUpVms()
+      const promoted = await promoteWithRestart(vm2, () => fleet.vms.get('vm1')!.commit(), () => {
+        vm1.kill()
+        fleet.startVm('vm1').addEndpoints()
+        fleet.vms.get('vm1')!.unreachableVms.add('vm2')
+        fleet.group.find('b').startAgain()
+      })
+      expect(promoted).to.equal('a')
+      expect(fleet.group.lost).to.deep.equal([])
+    })
+
+    it('leaves no write in doubt that was sent before a planned change', async () => {
+      const [vm1, vm2] = await setUpVms()
+      for (const name of ['a', 'b']) fleet.group.find(name).isDeaf = true
+      const pendingWrite = vm1.write()
+      await fleet.advance(50)
+      const promoted = vm2.promote('primary draining')
+      await fleet.advance(100)
+      for (const name of ['a', 'b']) fleet.group.find(name).isDeaf = false
+      await fleet.advance(3_000)
+      expect(await pendingWrite).to.have.nested.property('response.error', null)
+      expect(await promoted).not.to.equal(null)
+      expect(fleet.group.lost).to.deep.equal([])
+    })
+  })
 })
--- a/packages/gateway/src/failover/verify-leadership.test.ts
+++ b/packages/gateway/src/failover/verify-leadership.test.ts
@@ -35,12 +35,34 @@
 
 describe('verification of leadership', () => {
   it('accepts a replica that follows the primary and is not paused as proof', async () => {
+    const { group, verifier, clock, connector } = createFixture()
+    connector.statuses.set('a', { term: 0 })
+    await verifier.verifyLeadership(group, 1_000)
+    expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(true)
+  })
+
+  it('does not accept it while another is paused, as it may have lost its pause in a restart that is not registered yet, but does once the pause is old', async () => {
     const { group, verifier, clock, connector } = createFixture()
     connector.statuses.set('a', { pausedForTerm: 2 })
+    for (let elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 500) {
+      await verifier.verifyLeadership(group, 1_000)
+      expect(isPrimaryFresh(group.state, 0, clock.nowMs), `after ${elapsedMs} ms`).to.equal(false)
+      clock.nowMs += 500
+    }
     await verifier.verifyLeadership(group, 1_000)
     expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(true)
   })
 
+  it('counts a pause as recent if no replica was paused in between', async () => {
+    const { group, verifier, clock, connector } = createFixture()
+    for (const pausedForTerm of [2, 0, 3]) {
+      connector.statuses.set('a', { pausedForTerm })
+      await verifier.verifyLeadership(group, 1_000)
+      clock.nowMs += 10_000
+    }
+    expect(isPrimaryFresh(group.state, 0, clock.nowMs - 10_000)).to.equal(false)
+  })
+
   it('rejects replicas that are paused or follow another term', async () => {
     const { group, verifier, clock, connector } = createFixture()
     connector.statuses.set('a', { pausedForTerm: 2 })
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -7,6 +7,13 @@
 
 /** A replica that started less than this ago may have lost the information that it was paused. */
 const RECENT_START_MS = 10_000
+/**
+ * While a replica is paused, a promotion may be in progress, and another replica may have lost its pause in a restart that the directory
+ * does not tell yet. After this time the pause counts as left over from a promotion that has ended.
+ */
+const STALE_PAUSE_MS = 10_000
+/** Time for the other replicas to tell that they are paused, after one has proved that it is not. */
+const PAUSE_CHECK_MS = 100
 /** Shortest time between two queries of the same kind to a group. */
 const MIN_QUERY_INTERVAL_MS = 200
 
@@ -21,12 +28,14 @@
  * sufficient proof.
  *
  * A replica that is not paused and follows the primary's term proves that the group was not fenced when the status request
- * was sent, since a promotion pauses every replica first.
+ * was sent, since a promotion pauses every replica first. It proves nothing if another replica has been paused recently.
  */
 export class LeadershipVerifier {
   readonly #options: LeadershipVerifierOptions
   readonly #running = new Map<string, Promise<void>>()
   readonly #queriedAtMs = new Map<string, number>()
+  /** Time at which a replica of a group was first seen paused, by service, unless none has been since. */
+  readonly #pauseSeenAtMs = new Map<string, number>()
 
   constructor (options: LeadershipVerifierOptions) {
     this.#options = options
@@ -64,8 +73,10 @@
     const primaryEntry = group.primaryPool?.entry
     if (primary.term === 0 && primaryEntry !== undefined) await this.checkRole(group, primaryEntry)
     const replicas = pools.filter(p => p.entry.endpoint !== primary.endpoint)
+    let isPauseSeen = false
     const verify = async (entry: EndpointEntry): Promise<EndpointEntry> => {
       const status = await this.#findStatus(entry)
+      isPauseSeen ||= status?.role === 'replica' && status.pausedForTerm > primary.term
       const { primary: current } = group.state
       const isFollowing = status?.role === 'replica' && status.pausedForTerm === 0 && status.term === current?.term
       if (current === null || !isFollowing) throw new Error(`${entry.endpoint}: expected a replica that is not paused and follows the primary's term`)
@@ -76,13 +87,28 @@
     try {
       // All replicas together are a sufficient proof even if each has started recently: they did not all lose the information about a pause.
       await Promise.any([...sufficientProofs, ...proofs.length > 1 ? [Promise.all(proofs.map(v => v.proof))] : []])
+      await Promise.race([Promise.allSettled(proofs.map(v => v.proof)), waitFor(PAUSE_CHECK_MS)])
+      if (this.#isPauseRecent(group, isPauseSeen)) throw new Error('a replica is paused, so a promotion may be in progress')
       recordLeadership(group.state, primary.endpoint, sentAtMs)
       this.#options.logger.info('leadership verified', { service: group.service, primary: primary.endpoint, term: group.state.primary?.term, replicaCount: replicas.length })
-    } catch {
-      this.#options.logger.info('leadership not verified', { service: group.service, primary: primary.endpoint, term: primary.term, replicaCount: replicas.length })
+    } catch (error) {
+      if (isPauseSeen) this.#isPauseRecent(group, isPauseSeen)
+      this.#options.logger.info('leadership not verified', { reason: describeError(error), service: group.service, primary: primary.endpoint, term: primary.term, replicaCount: replicas.length })
     }
   }
 
+  /** Whether a replica has been paused so recently that a promotion may be in progress. */
+  #isPauseRecent ({ service }: ServiceGroup, isPauseSeen: boolean): boolean {
+    if (!isPauseSeen) {
+      this.#pauseSeenAtMs.delete(service)
+      return false
+    }
+    const nowMs = this.#options.clock.readNow()
+    const seenAtMs = this.#pauseSeenAtMs.get(service) ?? nowMs
+    this.#pauseSeenAtMs.set(service, seenAtMs)
+    return nowMs - seenAtMs < STALE_PAUSE_MS
+  }
+
   async #findStatus (entry: EndpointEntry): ReturnType<ControlConnections['run']> {
     try {
       return await this.#options.control.run(entry, async c => await c.readStatus())
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -3,7 +3,7 @@
 import type { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import type { FailoverWatch } from '../failover/failover-watch.ts'
 import type { PromotionHost, Revocation } from '../failover/run-promotion.ts'
-import { isLeadershipRevoked, recordLeadership, restoreLeadership, revokeLeadership } from '../freshness/group-state.ts'
+import { isLeadershipRevoked, recordLeadership, restoreLeadership } from '../freshness/group-state.ts'
 import { listUncovered, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
@@ -166,7 +166,7 @@
   }
 
   async #revokeLocalLeadership (group: ServiceGroup, endpoint: string, term: number, isPlanned: boolean): Promise<void> {
-    revokeLeadership(group.state, endpoint, term, this.#options.clock.readNow())
+    group.revokeLeadership(endpoint, term, isPlanned)
     if (isPlanned) await group.waitUntil(() => group.writesInFlight === 0, WRITE_COMPLETION_TIMEOUT_MS)
   }
 
--- a/packages/gateway/src/fleet/group-reports.test.ts
+++ b/packages/gateway/src/fleet/group-reports.test.ts
@@ -1,7 +1,7 @@
 import { createLogger, createSeededRandom } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import { EndpointConnector, type EndpointConnection } from '../backend/endpoint-connector.ts'
-import { findRequiredPosition, isPrimaryFresh, LEADER_LEASE_MS, recordPrimaryResponse, recordCommit, updatePrimary } from '../freshness/group-state.ts'
+import { findRequiredPosition, isPrimaryFresh, LEADER_LEASE_MS, recordLeadership, recordPrimaryResponse, recordCommit, updatePrimary } from '../freshness/group-state.ts'
 import { ServiceGroup } from '../groups/service-group.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
 import { applyGroupReport, createGroupReport } from './group-reports.ts'
@@ -25,6 +25,7 @@
   it('carry the primary, the proof of its leadership and the acknowledged position', () => {
     const [reporter, receiver] = [createGroup(), createGroup()]
     updatePrimary(reporter.state, 'p', 3)
+    recordLeadership(reporter.state, 'p', 1_000)
     recordCommit(reporter.state, 'p', 1_000, { term: 3, index: 7 }, 1_010)
     recordPrimaryResponse(reporter.state, 'p', 1_000, { term: 3, index: 7 }, 1_010)
     exchangeReport(reporter, receiver, 1_095, 1_100)
@@ -40,6 +41,7 @@
       const [reporter, receiver] = [createGroup(), createGroup()]
       updatePrimary(reporter.state, 'p', 1)
       const provenAtMs = 1_000 + random() * 100
+      recordLeadership(reporter.state, 'p', provenAtMs)
       recordCommit(reporter.state, 'p', provenAtMs, { term: 1, index: 7 }, provenAtMs + 5)
       recordPrimaryResponse(reporter.state, 'p', provenAtMs, { term: 1, index: 7 }, provenAtMs + 5)
       const pollSentAtMs = provenAtMs + 5 + random() * 300
@@ -52,6 +54,7 @@
   it('do not replace the primary by one of an older term', () => {
     const [reporter, receiver] = [createGroup(), createGroup()]
     updatePrimary(reporter.state, 'old', 1)
+    recordLeadership(reporter.state, 'old', 1_000)
     recordCommit(reporter.state, 'old', 1_000, null, 1_010)
     updatePrimary(receiver.state, 'new', 2)
     exchangeReport(reporter, receiver, 1_020, 1_020)
--- a/packages/gateway/src/fleet/group-reports.ts
+++ b/packages/gateway/src/fleet/group-reports.ts
@@ -45,4 +45,5 @@
     acknowledgedAtMs: pollSentAtMs - (report.acknowledgedAgeMs ?? Infinity),
     pendingWriteMs: report.pendingWriteAgeMs
   })
+  if (report.leadershipAgeMs !== null) group.publishChange()
 }
--- a/packages/gateway/src/freshness/group-state.test.ts
+++ b/packages/gateway/src/freshness/group-state.test.ts
@@ -1,6 +1,6 @@
 import { createSeededRandom, type LogPosition } from '@camphorpitch/wire'
 import { expect } from 'chai'
-import { addSample, createGroupState, findRequiredPosition, isPrimaryFresh, LEADER_LEASE_MS, recordPrimaryResponse, recordCommit, recordLeadership, restoreLeadership, revokeLeadership, MAX_REVOCATION_MS, updatePrimary, type GroupState } from './group-state.ts'
+import { addSample, createGroupState, findRequiredPosition, hasLeadershipLease, isPrimaryFresh, LEADER_LEASE_MS, readCommitLeaseEndMs, recordPrimaryResponse, recordCommit, recordLeadership, restoreLeadership, revokeLeadership, MAX_REVOCATION_MS, updatePrimary, type GroupState } from './group-state.ts'
 
 const at = (index: number, term = 1): LogPosition => ({ term, index })
 
@@ -11,16 +11,47 @@
 }
 
 describe('freshness of a group', () => {
-  it('lets the primary serve fresh reads until the lease that a commit began has expired', () => {
+  it('lets the primary serve fresh reads until the lease that a commit extended has expired', () => {
     const state = createLedState()
     expect(isPrimaryFresh(state, 0, 1_000)).to.equal(false)
+    recordLeadership(state, 'a', 500)
+    expect(isPrimaryFresh(state, 0, 501 + LEADER_LEASE_MS)).to.equal(false)
     recordCommit(state, 'a', 1_000, at(5), 1_020)
     expect(isPrimaryFresh(state, 0, 1_000 + LEADER_LEASE_MS)).to.equal(true)
     expect(isPrimaryFresh(state, 0, 1_001 + LEADER_LEASE_MS)).to.equal(false)
   })
 
+  it('accepts no commit as proof after the lease has ended, as a replica may have lost its pause in a restart', () => {
+    const state = createLedState()
+    recordCommit(state, 'a', 1_000, at(5), 1_020)
+    expect(state.leadershipLeaseEndsMs).to.equal(-Infinity)
+    recordLeadership(state, 'a', 2_000)
+    recordCommit(state, 'a', 2_500, at(6), 2_001 + LEADER_LEASE_MS)
+    expect(state.leadershipLeaseEndsMs).to.equal(2_000 + LEADER_LEASE_MS)
+    expect(hasLeadershipLease(state, 'a', 2_000 + LEADER_LEASE_MS)).to.equal(true)
+    expect(hasLeadershipLease(state, 'a', 2_001 + LEADER_LEASE_MS)).to.equal(false)
+    expect(hasLeadershipLease(state, 'b', 2_100)).to.equal(false)
+  })
+
+  it('lets commits in flight finish during a planned revocation until the revoked lease would have ended, and in no other', () => {
+    const state = createLedState()
+    recordLeadership(state, 'a', 1_000)
+    revokeLeadership(state, 'a', 2, 1_100, true)
+    recordCommit(state, 'a', 1_150, at(6), 1_200)
+    revokeLeadership(state, 'a', 2, 1_300, true)
+    expect(hasLeadershipLease(state, 'a', 1_300)).to.equal(false)
+    expect(readCommitLeaseEndMs(state, 'a', 1_300)).to.equal(1_000 + LEADER_LEASE_MS)
+    restoreLeadership(state)
+    expect(readCommitLeaseEndMs(state, 'a', 1_300)).to.equal(1_000 + LEADER_LEASE_MS)
+    revokeLeadership(state, 'a', 2, 1_400, false)
+    expect(readCommitLeaseEndMs(state, 'a', 1_400)).to.equal(-Infinity)
+    revokeLeadership(state, 'a', 2, 1_500, true)
+    expect(readCommitLeaseEndMs(state, 'a', 1_500)).to.equal(-Infinity)
+  })
+
   it('lets the primary serve bounded reads for their allowed staleness beyond the lease', () => {
     const state = createLedState()
+    recordLeadership(state, 'a', 1_000)
     recordCommit(state, 'a', 1_000, at(5), 1_020)
     expect(isPrimaryFresh(state, 1_500, 1_000 + LEADER_LEASE_MS + 1_500)).to.equal(true)
     expect(isPrimaryFresh(state, 1_500, 1_001 + LEADER_LEASE_MS + 1_500)).to.equal(false)
@@ -43,13 +74,16 @@
 
   it('accepts no proof of leadership after a revocation until the attempt fails or the revocation expires', () => {
     const state = createLedState()
+    recordLeadership(state, 'a', 1_000)
     recordCommit(state, 'a', 1_000, at(5), 1_010)
     revokeLeadership(state, 'a', 2, 1_100)
     expect(isPrimaryFresh(state, 0, 1_101)).to.equal(false)
     recordCommit(state, 'a', 1_150, at(6), 1_200)
     expect(isPrimaryFresh(state, 0, 1_201)).to.equal(false)
+    recordLeadership(state, 'a', 1_150)
+    expect(isPrimaryFresh(state, 0, 1_201)).to.equal(false)
     restoreLeadership(state)
-    recordCommit(state, 'a', 1_300, at(7), 1_310)
+    recordLeadership(state, 'a', 1_300)
     expect(isPrimaryFresh(state, 0, 1_400)).to.equal(true)
     revokeLeadership(state, 'a', 2, 2_000)
     recordLeadership(state, 'a', 2_000 + MAX_REVOCATION_MS)
@@ -88,9 +122,11 @@
       const cutAtMs = 2_000 + random() * 1_000
       const fencedAtMs = cutAtMs + 300 + random() * 700
       const firstNewCommitAtMs = fencedAtMs + LEADER_LEASE_MS
+      recordLeadership(state, 'a', 0)
       for (let nowMs = 0; nowMs < 8_000; nowMs += 20 + random() * 60) {
         const isAcknowledged = random() < 0.4 && nowMs < fencedAtMs
         if (isAcknowledged) recordCommit(state, 'a', nowMs - 10, at(nowMs), nowMs)
+        if (nowMs < fencedAtMs) expect(isPrimaryFresh(state, 0, nowMs), `read before the fence, at ${nowMs}`).to.equal(true)
         recordPrimaryResponse(state, 'a', nowMs - 5, at(nowMs), nowMs)
         for (const staleMs of [0, 1_500, 2_500]) {
           const mustHoldNewCommits = nowMs - staleMs > firstNewCommitAtMs
--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -1,8 +1,8 @@
 import { comparePositions, pickLaterPosition, type LogPosition } from '@camphorpitch/wire'
 
 /**
- * Time for which a VM may send reads to the primary after it last verified the primary's leadership. A promotion waits this long
- * after it has fenced the old primary, unless every VM has confirmed that it revoked the leadership.
+ * Time for which a VM may send reads and writes to the primary, and pass on the success of writes, after it last verified the primary's
+ * leadership. A promotion waits this long after it has fenced the old primary, unless every VM has confirmed that it revoked the leadership.
  */
 export const LEADER_LEASE_MS = 1_000
 /** A revocation of leadership lapses after this time, the longest that a promotion may take after it requested the revocation. */
@@ -26,8 +26,13 @@
 export interface GroupState {
   service: string
   primary: KnownPrimary | null
-  /** End of the leadership lease. Until then no other primary acknowledges a write, so reads from the primary are fresh. */
+  /** End of the leadership lease. Until then no other primary acknowledges a write, so reads from the primary are fresh, and its commits are kept. */
   leadershipLeaseEndsMs: number
+  /**
+   * End of the lease that a planned change has revoked. Until then the success of commits is still passed on: the primary steps down
+   * before another endpoint is promoted, and that endpoint then holds its whole log.
+   */
+  completionEndsMs: number
   /** Samples, the newest first. */
   samples: Sample[]
   /** Latest position known to be acknowledged. */
@@ -39,11 +44,13 @@
   lastResponseAtMs: number
   /** Until then the primary's leadership is revoked, as confirmed to the VM that runs a promotion. */
   revokedUntilMs: number
+  /** Whether the primary is asked to step down before another endpoint is promoted. */
+  isRevocationPlanned: boolean
 }
 
 /** @example createGroupState('orders') */
 export function createGroupState (service: string): GroupState {
-  return { service, primary: null, leadershipLeaseEndsMs: -Infinity, samples: [], acknowledged: null, acknowledgedAtMs: -Infinity, lastCommitSentAtMs: -Infinity, lastResponseAtMs: -Infinity, revokedUntilMs: -Infinity }
+  return { service, primary: null, leadershipLeaseEndsMs: -Infinity, completionEndsMs: -Infinity, samples: [], acknowledged: null, acknowledgedAtMs: -Infinity, lastCommitSentAtMs: -Infinity, lastResponseAtMs: -Infinity, revokedUntilMs: -Infinity, isRevocationPlanned: false }
 }
 
 /**
@@ -70,6 +77,7 @@
 function resetLeadership (state: GroupState): void {
   state.samples = []
   state.leadershipLeaseEndsMs = -Infinity
+  state.completionEndsMs = -Infinity
   state.lastResponseAtMs = -Infinity
   state.revokedUntilMs = -Infinity
 }
@@ -84,15 +92,16 @@
 }
 
 /**
- * Records an acknowledged commit. A replica has received it, which is impossible once a promotion has fenced the group,
- * so the endpoint led when the commit was sent.
+ * Records an acknowledged commit. A replica has received it, which is impossible once a promotion has fenced the group, unless the
+ * replica has restarted since and thereby lost its pause. So the commit proves that the endpoint led when it was sent only while an
+ * earlier proof still holds: a promotion lets the lease that begins with that one expire.
  *
  * @param sentAtMs time at which the commit was sent to the endpoint
  * @param position position of the commit; `null` if the response did not tell it
  */
 export function recordCommit (state: GroupState, endpoint: string, sentAtMs: number, position: LogPosition | null, nowMs: number): void {
   if (state.primary?.endpoint !== endpoint) return
-  recordLeadership(state, endpoint, sentAtMs)
+  if (hasLeadershipLease(state, endpoint, nowMs)) recordLeadership(state, endpoint, sentAtMs)
   state.acknowledgedAtMs = nowMs
   if (position === null) return
   recordAcknowledgedPosition(state, position)
@@ -124,11 +133,21 @@
   if (samples.length > MAX_SAMPLES) samples.length = MAX_SAMPLES
 }
 
-/** Revokes the leadership lease of the endpoint on request of a promotion to `term`: reads no longer rely on it. Ignored if the known primary has a later term. */
-export function revokeLeadership (state: GroupState, endpoint: string, term: number, nowMs: number): void {
-  if (state.primary?.endpoint !== endpoint || state.primary.term > term) return
+/**
+ * Revokes the leadership lease of the endpoint on request of a promotion to `term`: reads and writes no longer rely on it. Ignored if
+ * the known primary has a later term.
+ *
+ * @param isPlanned whether the primary steps down before another endpoint is promoted, so that commits in flight may finish
+ * @returns whether it was revoked
+ */
+export function revokeLeadership (state: GroupState, endpoint: string, term: number, nowMs: number, isPlanned = false): boolean {
+  if (state.primary?.endpoint !== endpoint || state.primary.term > term) return false
+  if (!isPlanned) state.completionEndsMs = -Infinity
+  else if (!isLeadershipRevoked(state, nowMs)) state.completionEndsMs = Math.max(state.completionEndsMs, state.leadershipLeaseEndsMs)
   state.leadershipLeaseEndsMs = Math.min(state.leadershipLeaseEndsMs, nowMs)
+  state.isRevocationPlanned = isPlanned
   state.revokedUntilMs = nowMs + MAX_REVOCATION_MS
+  return true
 }
 
 /** Ends a revocation after a promotion that promoted no endpoint, so that leadership can be verified again. */
@@ -146,6 +165,12 @@
   return state.primary?.endpoint === endpoint && nowMs <= state.leadershipLeaseEndsMs && !isLeadershipRevoked(state, nowMs)
 }
 
+/** Returns until when the success of the endpoint's commits may be passed on, by what is known now; `-Infinity` if not at all. */
+export function readCommitLeaseEndMs (state: GroupState, endpoint: string, nowMs: number): number {
+  if (state.primary?.endpoint !== endpoint) return -Infinity
+  return isLeadershipRevoked(state, nowMs) ? state.completionEndsMs : Math.max(state.leadershipLeaseEndsMs, state.completionEndsMs)
+}
+
 /** Measures the age of the latest proof of the primary's leadership, in milliseconds; `null` if there is none. */
 export function measureLeaseAgeMs ({ leadershipLeaseEndsMs }: GroupState, nowMs: number): number | null {
   return leadershipLeaseEndsMs === -Infinity ? null : nowMs - (leadershipLeaseEndsMs - LEADER_LEASE_MS)
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -1,10 +1,10 @@
 import { pickLaterPosition, type Clock, type Logger, type LogPosition } from '@camphorpitch/wire'
 import type { EndpointResponse, EndpointConnector } from '../backend/endpoint-connector.ts'
-import { ConnectionLostError } from '../backend/errors.ts'
+import { ConnectionLostError, LeadershipLostError } from '../backend/errors.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { createGroupState, isLeadershipRevoked, recordPrimaryResponse, recordCommit, updatePrimary, type GroupState } from '../freshness/group-state.ts'
+import { createGroupState, hasLeadershipLease, isLeadershipRevoked, readCommitLeaseEndMs, recordPrimaryResponse, recordCommit, revokeLeadership, updatePrimary, type GroupState } from '../freshness/group-state.ts'
 import type { ConnectionLimits } from '../pool/connection-plan.ts'
-import { recordResponse, recordSent, recordNoResponse } from '../pool/endpoint-health.ts'
+import { recordAbandoned, recordResponse, recordSent, recordNoResponse } from '../pool/endpoint-health.ts'
 import { EndpointPool } from '../pool/endpoint-pool.ts'
 import { waitAtMost } from '../runtime/wait-at-most.ts'
 import { addDeparture, recordLogEnd, removeDeparture, resetLogEnds, type Departure, type EndpointStart } from './departures.ts'
@@ -32,6 +32,8 @@
   pendingWriteMs: number
 }
 
+interface DependentStatement { endpoint: string, abandon: (error: Error) => void }
+
 /** The endpoints of one service as this VM uses them. */
 export class ServiceGroup {
   readonly service: string
@@ -49,6 +51,8 @@
   withoutPrimarySinceMs: number | null
   readonly #options: ServiceGroupOptions
   readonly #changeListeners = new Set<() => void>()
+  /** Statements in flight whose effect depends on the leadership of their endpoint. */
+  readonly #dependentStatements = new Set<DependentStatement>()
 
   constructor (options: ServiceGroupOptions) {
     this.#options = options
@@ -70,6 +74,58 @@
     return pool !== undefined && pool.measureDraining(nowMs) < MAX_DRAINING_USE_MS && !isLeadershipRevoked(this.state, nowMs)
   }
 
+  /** Whether a write may be sent to the endpoint, as far as its leadership is concerned. */
+  hasLease (endpoint: string): boolean {
+    const nowMs = this.#options.clock.readNow()
+    return hasLeadershipLease(this.state, endpoint, nowMs) || (!this.#hasReplicas && this.isWritable)
+  }
+
+  /** Measures for how long the success of the endpoint's commits may still be passed on, in milliseconds; negative if it may not. */
+  measureCommitLeaseMs (endpoint: string): number {
+    const nowMs = this.#options.clock.readNow()
+    if (!this.#hasReplicas && this.state.primary?.endpoint === endpoint) return isLeadershipRevoked(this.state, nowMs) ? -Infinity : Infinity
+    return readCommitLeaseEndMs(this.state, endpoint, nowMs) - nowMs
+  }
+
+  /** Whether the endpoint does not lead any more or is being replaced without having stepped down. */
+  isLeadershipLost (endpoint: string): boolean {
+    const { primary, isRevocationPlanned } = this.state
+    return primary?.endpoint !== endpoint || (isLeadershipRevoked(this.state, this.#options.clock.readNow()) && !isRevocationPlanned)
+  }
+
+  /** Whether there ever was an endpoint that could be promoted. The leadership of one that has always been alone needs no proof. */
+  get #hasReplicas (): boolean {
+    return this.pools.size > 1 || this.departures.length > 0
+  }
+
+  /** Revokes the endpoint's leadership on request of a promotion to `term`. Unless the change is planned, gives up what is in flight there. */
+  revokeLeadership (endpoint: string, term: number, isPlanned: boolean): void {
+    if (!revokeLeadership(this.state, endpoint, term, this.#options.clock.readNow(), isPlanned)) return
+    if (!isPlanned) this.#abandonStatements(endpoint, new LeadershipLostError('the primary is being replaced'))
+    this.#publishChange()
+  }
+
+  /** Gives up the writes and commits that are in flight at the endpoint, because its leadership can no longer be verified. */
+  expireLease (endpoint: string): void {
+    this.#abandonStatements(endpoint, new ConnectionLostError('the primary\'s leadership could not be verified while the write was in flight'))
+  }
+
+  /** Waits for the response to a statement that changes data at the endpoint. @throws LeadershipLostError as soon as the endpoint no longer leads; the connection must be closed then */
+  async waitWhileLeading<T> (endpoint: string, pendingResponse: Promise<T>): Promise<T> {
+    return await new Promise((resolve, reject) => {
+      const statement = { endpoint, abandon: reject }
+      this.#dependentStatements.add(statement)
+      pendingResponse.then(resolve, reject).finally(() => this.#dependentStatements.delete(statement))
+    })
+  }
+
+  #abandonStatements (endpoint: string, error: Error): void {
+    for (const statement of [...this.#dependentStatements].filter(s => s.endpoint === endpoint)) {
+      this.#dependentStatements.delete(statement)
+      statement.abandon(error)
+    }
+  }
+
   /** Adds or updates a registered endpoint. An endpoint with a new address gets a new pool. */
   updateEntry (entry: EndpointEntry): void {
     const { clock, connector, logger, readLimits, recordOpened } = this.#options
@@ -112,6 +168,7 @@
       this.unansweredWriteSinceMs = null
       this.peers.clear()
       resetLogEnds(this.departures)
+      if (previous !== null) this.#abandonStatements(previous.endpoint, new LeadershipLostError('the primary was replaced'))
     }
     this.withoutPrimarySinceMs = null
     this.#options.logger.info('primary changed', { service: this.service, endpoint, term, source, previousPrimary: previous })
@@ -120,16 +177,19 @@
 
   /** Records that the known primary no longer leads and that no other endpoint is known to. */
   resetPrimary (): void {
-    this.#options.logger.warn('primary unknown', { service: this.service, previousPrimary: this.state.primary })
+    const { primary } = this.state
+    this.#options.logger.warn('primary unknown', { service: this.service, previousPrimary: primary })
     this.state.primary = null
     this.withoutPrimarySinceMs = this.#options.clock.readNow()
     this.unansweredWriteSinceMs = null
+    if (primary !== null) this.#abandonStatements(primary.endpoint, new LeadershipLostError('the primary no longer leads'))
   }
 
   /**
    * Runs one statement on a connection of this group and records what its response tells about the endpoint and the log.
    *
    * @throws ConnectionLostError if no response arrived within `timeoutMs`; the connection must not be used again
+   * @throws LeadershipLostError if it is a write and its endpoint no longer leads; the connection must be closed
    */
   async runStatement (pool: EndpointPool, isWrite: boolean, timeoutMs: number, send: () => Promise<EndpointResponse>): Promise<EndpointResponse> {
     const { clock } = this.#options
@@ -138,7 +198,8 @@
     recordSent(pool.health, sentAtMs)
     if (isWrite) this.#recordWriteSent(endpoint, sentAtMs)
     try {
-      const response = await waitAtMost(send(), timeoutMs, () => new ConnectionLostError(`no answer within ${Math.round(timeoutMs)} ms`))
+      const pendingResponse = isWrite ? this.waitWhileLeading(endpoint, send()) : send()
+      const response = await waitAtMost(pendingResponse, timeoutMs, () => new ConnectionLostError(`no answer within ${Math.round(timeoutMs)} ms`))
       const nowMs = clock.readNow()
       recordResponse(pool.health, sentAtMs, nowMs)
       if (isWrite) this.#recordWriteResponse(endpoint, sentAtMs, response, nowMs)
@@ -146,7 +207,9 @@
       this.#recordPosition(endpoint, sentAtMs, response.position, nowMs)
       return response
     } catch (error) {
-      recordNoResponse(pool.health, clock.readNow())
+      if (error instanceof LeadershipLostError) recordAbandoned(pool.health)
+      else recordNoResponse(pool.health, clock.readNow())
+      if (isWrite && error instanceof LeadershipLostError && this.writesInFlight === 1) this.unansweredWriteSinceMs = null
       throw error
     } finally {
       if (isWrite) {
--- a/packages/gateway/src/pool/endpoint-health.ts
+++ b/packages/gateway/src/pool/endpoint-health.ts
@@ -58,6 +58,12 @@
   health.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS
 }
 
+/** Records that a response is no longer waited for, which tells nothing about the endpoint. */
+export function recordAbandoned (health: EndpointHealth): void {
+  health.inFlight--
+  if (health.inFlight === 0) health.unansweredSinceMs = null
+}
+
 /** Records that a connection attempt was refused at the endpoint's address. */
 export function recordRefused (health: EndpointHealth, nowMs: number): void {
   health.refusedSinceMs ??= nowMs
--- a/packages/gateway/src/statements/pinned-transaction.ts
+++ b/packages/gateway/src/statements/pinned-transaction.ts
@@ -5,7 +5,7 @@
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
 import { PoolError } from '../pool/errors.ts'
 import type { PooledConnection } from '../pool/pooled-connection.ts'
-import { runLeasedWrite } from './leased-write.ts'
+import { ensureLease, runLeasedWrite } from './leased-write.ts'
 import { computeTimeLeftMs, computeWaitMs, createRetryRefusal, readMaxStalenessMs, type Operation, type Outcome } from './operation.ts'
 import { findReadTarget, type ReadTarget } from './read-targets.ts'
 import { LAGGING_AVOID_MS } from './run-read.ts'
@@ -57,6 +57,7 @@
   async run (operation: Operation, isWrite: boolean): Promise<Outcome> {
     if (!this.isOpen) return this.#abandon('the transaction\'s connection was lost')
     if (isWrite) this.#hasWritten = true
+    if (this.#hasWritten && this.#group.isLeadershipLost(this.pool.entry.endpoint)) return this.#abandon('the primary is being replaced')
     try {
       const response = await this.#runWithRetries(operation, false)
       this.#context.logResponse(operation, this.pool, null, response)
@@ -70,8 +71,16 @@
     }
   }
 
-  /** Commits. Without a response the outcome is unknown (`inDoubt`), unless the transaction wrote nothing. */
+  /**
+   * Commits. Without a response the outcome is unknown (`inDoubt`), unless the transaction wrote nothing. If it wrote, the commit is
+   * sent only while the primary's leadership is verified.
+   */
   async commit (operation: Operation): Promise<Outcome> {
+    if (!this.isOpen) return this.#abandon('the transaction\'s connection was lost')
+    const { endpoint } = this.pool.entry
+    const canSend = (): boolean => !this.#group.isLeadershipLost(endpoint)
+    if (this.#hasWritten && !canSend()) return this.#abandon('the primary is being replaced')
+    if (this.#hasWritten && !await ensureLease(this.#context, this.#group, operation, endpoint, canSend)) return this.#abandon('the primary is not known to lead')
     if (!this.isOpen) return this.#abandon('the transaction\'s connection was lost')
     try {
       const response = await this.#runWithRetries(operation, this.#hasWritten)
@@ -102,19 +111,27 @@
   /** Runs a statement, and again after a backoff while the endpoint is too busy and the transaction is still open. */
   async #runWithRetries (operation: Operation, isWrite: boolean): Promise<EndpointResponse> {
     const { clock } = this.#context
-    const { statement, requiredState, preparedName } = operation
+    const { requiredState, preparedName } = operation
     for (let attemptCount = 1; ; attemptCount++) {
       this.#connection.restoreSession(requiredState, preparedName)
-      const timeLeftMs = computeTimeLeftMs(operation, clock.readNow())
-      const response = isWrite
-        ? await runLeasedWrite(this.#context, this.#group, operation, this.pool, this.#connection)
-        : await this.#group.runStatement(this.pool, false, timeLeftMs, async () => await this.#connection.run(statement.id, statement.text, null))
-      const canRetry = response.error?.code === 'busy' && response.state === 'open' && attemptCount < MAX_BUSY_ATTEMPTS
+      const response = isWrite ? await runLeasedWrite(this.#context, this.#group, operation, this.pool, this.#connection) : await this.#runUncommitted(operation)
+      const isBusy = response.error?.code === 'busy' && response.state === 'open'
+      const canRetry = isBusy && attemptCount < MAX_BUSY_ATTEMPTS
       if (!canRetry || computeTimeLeftMs(operation, clock.readNow()) < 2 * BUSY_BACKOFF_MS) return response
       await new Promise(resolve => setTimeout(resolve, BUSY_BACKOFF_MS * attemptCount))
     }
   }
 
+  /** Runs a statement that commits nothing. */
+  async #runUncommitted (operation: Operation): Promise<EndpointResponse> {
+    const { id, text } = operation.statement
+    const timeLeftMs = computeTimeLeftMs(operation, this.#context.clock.readNow())
+    return await this.#group.runStatement(this.pool, false, timeLeftMs, async () => {
+      const pendingResponse = this.#connection.run(id, text, null)
+      return this.#hasWritten ? await this.#group.waitWhileLeading(this.pool.entry.endpoint, pendingResponse) : await pendingResponse
+    })
+  }
+
   #abandon (reason: string): Outcome {
     this.#end(false)
     return createRetryRefusal('aborted', reason, RETRY_AFTER_MS)
--- a/packages/gateway/src/statements/run-write.ts
+++ b/packages/gateway/src/statements/run-write.ts
@@ -3,12 +3,14 @@
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
 import { PoolError } from '../pool/errors.ts'
 import type { PooledConnection } from '../pool/pooled-connection.ts'
-import { runLeasedWrite } from './leased-write.ts'
+import { ensureLease, runLeasedWrite } from './leased-write.ts'
 import { computeWaitMs, createRetryRefusal, type Operation, type Outcome } from './operation.ts'
 import type { StatementContext } from './statement-context.ts'
 
 /** Retry time given to the client when no connection to the primary is free, in milliseconds. */
 const BUSY_RETRY_AFTER_MS = 100
+/** Retry time given to the client when the primary's leadership could not be verified, in milliseconds. */
+const UNVERIFIED_RETRY_AFTER_MS = 200
 
 /** A connection to the primary, or the refusal for the client. */
 export type AcquiredPrimary = { pool: EndpointPool, connection: PooledConnection } | { refusal: { code: 'busy', text: string } }
@@ -46,6 +48,12 @@
   if ('refusal' in acquired) return acquired
   const { pool, connection } = acquired
   const { requiredState, preparedName } = operation
+  const { endpoint } = pool.entry
+  const canSend = (): boolean => group.isWritable && group.primaryPool === pool && group.hasLease(endpoint)
+  if (!await ensureLease(context, group, operation, endpoint, canSend) || !connection.connection.isOpen) {
+    pool.release(connection, true)
+    return createRetryRefusal('busy', 'the primary is not known to lead', Math.max(UNVERIFIED_RETRY_AFTER_MS, context.estimateRecoveryMs(group)))
+  }
   const restoreResponses = connection.restoreSession(requiredState, preparedName)
   try {
     const response = await runLeasedWrite(context, group, operation, pool, connection)
@@ -53,7 +61,7 @@
     pool.release(connection, response.state === 'idle')
     context.logResponse(operation, pool, null, response)
     if (response.error?.code === 'readOnly') context.refreshPrimary(group)
-    return { response, endpoint: pool.entry.endpoint }
+    return { response, endpoint }
   } catch (error) {
     pool.release(connection, false)
     const reason = describeError(error)
--- a/packages/gateway/src/statements/statement-context.ts
+++ b/packages/gateway/src/statements/statement-context.ts
@@ -6,7 +6,7 @@
 import type { VmLocation } from './read-targets.ts'
 
 /** What became of a response that arrived without a lease of the primary's leadership. */
-export type UnleasedOutcome = 'passed on' | 'verified' | 'in doubt'
+export type UnleasedOutcome = 'verified' | 'in doubt'
 
 /** What the functions that run statements need from the other components of this VM. */
 export interface StatementContext {
