--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -2,6 +2,7 @@
 import { formatStart, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { ensureLatestPrimary, ensureNotReplaced } from './check-leadership.ts'
+import type { Claim } from './duty-claim.ts'
 import { pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
 import { fencePlannedChange, fenceReplicas, updateTerm, waitForLeases, type FencedGroup } from './fence-group.ts'
 import { requestPromotion } from './order-promotion.ts'
@@ -31,12 +32,8 @@
     host.logger.info('promotion skipped, another VM holds the failover claim', { service: group.service, reason })
     return null
   }
-  const entries = [...group.pools.values()].map(p => p.entry)
-  const oldPrimary = entries.find(e => e.endpoint === group.state.primary?.endpoint)
-  const knownPrimary = group.state.primary === null ? null : { ...group.state.primary }
-  const openOrder = claim.order !== null && claim.order.term > (knownPrimary?.term ?? 0) ? claim.order : null
-  const term = Math.max((knownPrimary?.term ?? 0) + 1, openOrder?.term ?? 0)
-  const attempt: Attempt = { host, group, reason, claim, knownPrimary, oldPrimary, replicas: entries.filter(e => e !== oldPrimary), leadershipVerifiedAtMs: -Infinity, term, openOrder, mayHaveRecordedOrder: claim.order !== null, pendingFence: null }
+  const attempt = createAttempt(host, group, reason, claim)
+  const { oldPrimary, term, openOrder } = attempt
   host.logger.warn('promotion started', { service: group.service, reason, oldPrimary: oldPrimary?.endpoint, term, fencingToken: claim.fencingToken, openOrder })
   let promoted: string | null = null
   try {
@@ -50,6 +47,28 @@
   return promoted
 }
 
+function createAttempt (host: PromotionHost, group: ServiceGroup, reason: PromotionReason, claim: Claim): Attempt {
+  const entries = [...group.pools.values()].map(p => p.entry)
+  const knownPrimary = group.state.primary === null ? null : { ...group.state.primary }
+  const oldPrimary = entries.find(e => e.endpoint === knownPrimary?.endpoint)
+  const knownTerm = knownPrimary?.term ?? 0
+  const openOrder = claim.order !== null && claim.order.term > knownTerm ? claim.order : null
+  return {
+    host,
+    group,
+    reason,
+    claim,
+    knownPrimary,
+    term: Math.max(knownTerm + 1, openOrder?.term ?? 0),
+    oldPrimary,
+    replicas: entries.filter(e => e !== oldPrimary),
+    leadershipVerifiedAtMs: -Infinity,
+    openOrder,
+    mayHaveRecordedOrder: claim.order !== null,
+    pendingFence: null
+  }
+}
+
 /** Whether the primary still leads, and no endpoint has a later term: then the replicas only need to be resumed. */
 async function isPrimaryLeading (attempt: Attempt): Promise<boolean> {
   const { oldPrimary, replicas, knownPrimary } = attempt
@@ -69,7 +88,9 @@
   const fencedAtMs = host.clock.readNow()
   const revocation = await pendingRevocation
   ensureLatestPrimary(attempt, revocation.latestPrimary, fenced.endpoints)
-  if (!revocation.hasEveryVmConfirmed) fenced = await waitForLeases(attempt, fenced, fencedAtMs)
+  // In a planned change VMs let commits in flight finish, as the primary steps down first.
+  const hasStoppedCommits = !isPlanned || fenced.endpoints.some(f => f.isOldPrimary)
+  if (!revocation.hasEveryVmConfirmed || !hasStoppedCommits) fenced = await waitForLeases(attempt, fenced, fencedAtMs)
   const { departures, unknownReplicas } = mergeEndpoints(attempt, revocation)
   const unfencedReplicas = fenced.unfencedReplicas + unknownReplicas.length
   const ordered = findOrdered(attempt, fenced, revocation)
