--- a/packages/gateway/src/testing/simulated-group.ts
+++ b/packages/gateway/src/testing/simulated-group.ts
@@ -3,6 +3,7 @@
 import { EndpointConnector, type EndpointConnection } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError } from '../backend/errors.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+import type { SimulatedProcess, VirtualTime } from './virtual-time.ts'
 
 const CONTROL_DELAY_MS = 4
 /** Time for which a primary continues to lead after another endpoint was promoted. */
@@ -23,6 +24,8 @@
   isDeaf = false
   isDraining = false
   startedAtMs = Date.now() - 60_000
+  /** Number of log entries that it receives in a step of replication at most. */
+  entriesPerStep = Infinity
 
   constructor (endpoint: string) {
     this.endpoint = endpoint
@@ -77,7 +80,7 @@
   }
 }
 
-interface PendingCommit { primary: SimulatedEndpoint, position: LogPosition, handleAcknowledged: (position: LogPosition) => boolean }
+interface PendingCommit { process: SimulatedProcess | undefined, primary: SimulatedEndpoint, position: LogPosition, handleAcknowledged: (position: LogPosition) => boolean }
 
 /** A group of endpoints whose commits are acknowledged once one replica has received them. */
 export class SimulatedGroup {
@@ -86,9 +89,15 @@
   readonly acknowledged: LogPosition[] = []
   /** Descriptions of acknowledged commits that an endpoint lacked when it was promoted. */
   readonly lost: string[] = []
+  /** Prints an event of the group; prints nothing by default. */
+  print: (event: string) => void = () => {}
+  /** Time from a commit to its execution at the endpoint; 0 executes it at once. */
+  drawCommitDelayMs: () => number = () => 0
+  readonly #time: VirtualTime
   #pendingCommits: PendingCommit[] = []
 
-  constructor (names: readonly string[]) {
+  constructor (names: readonly string[], time: VirtualTime) {
+    this.#time = time
     for (const name of names) this.endpoints.set(name, new SimulatedEndpoint(name))
     this.find(names[0]!).role = 'primary'
   }
@@ -106,10 +115,17 @@
 
   /** Commits a write at the endpoint. `handleAcknowledged` tells whether the client receives the acknowledgement. */
   commit (primary: SimulatedEndpoint, handleAcknowledged: PendingCommit['handleAcknowledged']): void {
+    const process = this.#time.currentProcess
+    const delayMs = this.drawCommitDelayMs()
+    if (delayMs === 0) this.#executeCommit(process, primary, handleAcknowledged)
+    else this.#time.runAs(undefined, () => setTimeout(() => this.#executeCommit(process, primary, handleAcknowledged), delayMs))
+  }
+
+  #executeCommit (process: SimulatedProcess | undefined, primary: SimulatedEndpoint, handleAcknowledged: PendingCommit['handleAcknowledged']): void {
     if (!primary.isRunning || primary.role !== 'primary') return
     const position = { term: primary.term, index: primary.received.index + 1 }
     primary.log.push(position)
-    this.#pendingCommits.push({ primary, position, handleAcknowledged })
+    this.#pendingCommits.push({ process, primary, position, handleAcknowledged })
   }
 
   /** Replicates entries, at most `count` to each replica, and acknowledges the commits that a replica has received. */
@@ -118,25 +134,37 @@
     const primaries = running.filter(e => e.role === 'primary').sort((a, b) => b.term - a.term)
     for (const replica of running.filter(e => e.role === 'replica' && !e.isDeaf)) {
       const primary = primaries.find(p => p.term >= replica.term && (!replica.isPaused || (p.term > replica.term && p.term >= replica.pausedForTerm)))
-      if (primary !== undefined) replica.follow(primary, count)
+      if (primary !== undefined) replica.follow(primary, Math.min(count, replica.entriesPerStep))
     }
-    this.#pendingCommits = this.#pendingCommits.filter(({ primary, position, handleAcknowledged }) => {
+    this.#pendingCommits = this.#pendingCommits.filter(({ process, primary, position, handleAcknowledged }) => {
       if (!primary.isRunning || primary.role !== 'primary') return false
       if (!running.some(e => e.role === 'replica' && e.term === primary.term && e.hasReceived(position))) return true
-      if (handleAcknowledged(position)) this.acknowledged.push(position)
+      this.#tellAcknowledged(process, () => { if (handleAcknowledged(position)) this.acknowledged.push(position) }).catch(() => {}) // A process that stands still never rejects.
       return false
     })
   }
 
+  /** Has the process that sent a commit handle its acknowledgement: at once, or when it goes on. */
+  async #tellAcknowledged (process: SimulatedProcess | undefined, handle: () => void): Promise<void> {
+    if (process === undefined) {
+      handle()
+      return
+    }
+    if (process.frozenUntilMs > this.#time.readNow()) await this.#time.waitWhileFrozen(process)
+    this.#time.runAs(process, handle)
+  }
+
   /**
    * Makes an endpoint the primary of the next term with the log that it has, as the platform does, unless it has stopped or restarted
    * since it was ordered at `orderedAtMs`. Records the acknowledged commits that it lacks.
    */
   promote (name: string, orderedAtMs = Infinity): void {
     const candidate = this.endpoints.get(name)
+    this.print(`order for ${name} takes effect`)
     if (candidate?.isRunning !== true || candidate === this.leader || candidate.startedAtMs > orderedAtMs) return
     const missing = this.acknowledged.filter(p => !candidate.hasReceived(p)).map(p => `${p.term}.${p.index}`)
     if (missing.length > 0) this.lost.push(`${name} lacks ${missing.length > 6 ? `${missing.length} commits, ${missing[0]!} to ${missing.at(-1)!}` : missing.join(', ')}`)
+    if (missing.length > 0) this.print(`LOST: ${this.lost.at(-1)!}`)
     const term = Math.max(...[...this.endpoints.values()].map(e => e.term)) + 1
     Object.assign(candidate, { role: 'primary', term, isPaused: false, pausedForTerm: 0 })
     setTimeout(() => {
@@ -151,30 +179,46 @@
   readonly unreachable = new Set<string>()
   /** Whether the VM has stopped. */
   isStopped = false
+  /** Time from a command to its execution at the endpoint, and from there to the VM. */
+  drawDelays = (): [toEndpointMs: number, toVmMs: number] => [CONTROL_DELAY_MS, 0]
   readonly #group: SimulatedGroup
+  readonly #time: VirtualTime
+  readonly #process: SimulatedProcess
 
-  constructor (group: SimulatedGroup) {
+  constructor (group: SimulatedGroup, time: VirtualTime, process: SimulatedProcess) {
     super()
     this.#group = group
+    this.#time = time
+    this.#process = process
   }
 
   override async connect ({ endpoint }: { endpoint: string }): Promise<EndpointConnection> {
     const run = async (command: (e: SimulatedEndpoint) => void): Promise<EndpointStatus> => {
-      await new Promise(resolve => setTimeout(resolve, CONTROL_DELAY_MS))
+      const [toEndpointMs, toVmMs] = this.drawDelays()
+      await this.#time.waitOutside(toEndpointMs)
       const found = this.#group.endpoints.get(endpoint)
-      if (found === undefined || !found.isRunning || this.isStopped || this.unreachable.has(endpoint)) throw new ConnectionLostError('endpoint does not respond')
-      command(found)
-      return found.readStatus()
+      const isReached = found !== undefined && found.isRunning && !this.isStopped && !this.unreachable.has(endpoint)
+      if (isReached) command(found)
+      const status = found?.readStatus()
+      if (toVmMs > 0) await this.#time.waitOutside(toVmMs)
+      if (this.#process.frozenUntilMs > this.#time.readNow()) await this.#time.waitWhileFrozen(this.#process)
+      if (!isReached) throw new ConnectionLostError('endpoint does not respond')
+      return status!
     }
     await run(() => {})
     const connection = {
       readStatus: async () => await run(() => {}),
-      pause: async (term: number) => await run(e => e.pause(term)),
-      resume: async () => await run(e => e.resume()),
-      demote: async (term: number) => await run(e => e.demote(term)),
+      pause: async (term: number) => await run(e => this.#execute(`pauses ${e.endpoint} at term ${term}`, () => e.pause(term))),
+      resume: async () => await run(e => this.#execute(`resumes ${e.endpoint}`, () => e.resume())),
+      demote: async (term: number) => await run(e => this.#execute(`has ${e.endpoint} step down at term ${term}`, () => e.demote(term))),
       subscribeClose: () => {},
       close: () => {}
     }
     return connection as unknown as EndpointConnection
   }
+
+  #execute (event: string, command: () => void): void {
+    this.#group.print(`${this.#process.name} ${event}`)
+    command()
+  }
 }
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -5,21 +5,27 @@
 import { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import { ControlConnections } from '../failover/control-connections.ts'
 import { DutyClaims } from '../failover/duty-claim.ts'
+import { FailoverWatch } from '../failover/failover-watch.ts'
 import { runPromotion, type PromotionHost } from '../failover/run-promotion.ts'
+import { LeadershipVerifier } from '../failover/verify-leadership.ts'
 import { FleetMessageHandler, type FleetMessageHandlerOptions } from '../fleet/fleet-message-handler.ts'
 import { addMember, createMemberState, recordLeft, recordPoll, recordReport, type MemberState } from '../fleet/members.ts'
 import type { FleetMessage } from '../fleet/message-schemas.ts'
 import { isLeadershipRevoked } from '../freshness/group-state.ts'
 import { ServiceGroup } from '../groups/service-group.ts'
 import { MetadataError } from '../metadata/errors.ts'
+import type { StoredObject, WritableKind } from '../metadata/metadata-store.ts'
 import type { Revision } from '../metadata/revision.ts'
-import { createTraceLogger } from './event-trace.ts'
+import { waitAtMost } from '../runtime/wait-at-most.ts'
+import { createTraceLogger, printEvent } from './event-trace.ts'
 import { MemoryStore, type MemoryStoreState } from './memory-store.ts'
 import { SimulatedConnector, SimulatedGroup } from './simulated-group.ts'
-import { VirtualTime } from './virtual-time.ts'
+import type { SimulatedPlatform } from './simulated-platform.ts'
+import { VirtualTime, type SimulatedProcess } from './virtual-time.ts'
 
 const MESSAGE_DELAY_MS = 3
 const STATEMENT_TIMEOUT_MS = 2_000
+const STORE_TIMEOUT_MS = 1_000
 
 /** VMs with their own views of a simulated group, which run the product's promotions. */
 export class SimulatedFleet {
@@ -30,12 +36,15 @@
   /** Descriptions of promotion orders whose fencing token is lower than an earlier one, or that of another VM. */
   readonly brokenOrders: string[] = []
   #latestOrder: PromotionOrder | undefined
+  /** Executes the orders, if set; otherwise each takes effect after its VM's `promotionDelayMs`. */
+  platform: SimulatedPlatform | undefined
   readonly random: () => number
   readonly logger: Logger
 
   constructor (endpoints: readonly string[], seed = 1) {
     this.time.start()
-    this.group = new SimulatedGroup(endpoints)
+    this.group = new SimulatedGroup(endpoints, this.time)
+    this.group.print = event => printEvent(this.time, 'group', event)
     this.random = createSeededRandom(seed)
     this.logger = createTraceLogger(this.time)
   }
@@ -82,32 +91,42 @@
   readonly unreachableVms = new Set<string>()
   readonly orders: PromotionOrder[] = []
   isRunning = true
+  /** Time at which this VM last learned of another primary from the VM that promoted it. */
+  primaryChangedAtMs = -Infinity
   /** Whether promotion orders of this VM are dropped on the way. */
   losesOrders = false
   /** Whether the answers to promotion orders of this VM are dropped on the way. */
   losesAnswers = false
   isStoreReachable = true
+  readonly process: SimulatedProcess
+  /** Times of a store call of this VM. */
+  drawStoreDelays: () => StoreDelays = () => [0, 0]
   /** Time from an order of this VM to its effect. */
   promotionDelayMs = 400
   readonly #fleet: SimulatedFleet
   readonly #host: PromotionHost
   readonly #handler: FleetMessageHandler
   readonly #store: MemoryStore
+  readonly #verifier: LeadershipVerifier
+  #watch: FailoverWatch | undefined
 
   constructor (fleet: SimulatedFleet, name: string) {
     const { time, logger } = fleet
     this.name = name
+    this.process = { name, frozenUntilMs: -Infinity }
     this.#fleet = fleet
     this.members = createMemberState({ vm: name, host: '127.0.0.1', port: 1, failureDomain: 'north', region: 'r', incarnation: Date.now() })
     this.members.hasMemberList = true
-    this.connector = new SimulatedConnector(fleet.group)
+    this.connector = new SimulatedConnector(fleet.group, time, this.process)
     this.group = new ServiceGroup({ service: 's', connector: new IdleConnector(), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: 0 }), recordOpened: () => {} })
-    this.#store = new SimulatedStore(fleet.store.state, () => this.isRunning && this.isStoreReachable)
+    this.#store = new SimulatedStore(fleet.store.state, { canReach: () => this.isRunning && this.isStoreReachable, drawDelays: () => this.drawStoreDelays(), time, process: this.process })
     const inquiries: ClaimInquiries = new ClaimInquiries({ store: this.#store, clock: time, members: this.members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => this.#send(vm, message) })
     const claims: DutyClaims = new DutyClaims({ store: this.#store, clock: time, logger, vm: name, incarnation: this.members.self.incarnation, confirmNoClaims: async (service, epoch) => await inquiries.confirmNoClaims(service, epoch) })
     this.#handler = this.#createHandler(inquiries)
     const promoter = new SimulatedPromoter(fleet, this)
-    this.#host = { clock: time, logger: logger.child({ vm: name }), vm: name, control: new ControlConnections(this.connector), claims, promoter, ...this.#handler.createPromotionCallbacks() }
+    const control = new ControlConnections(this.connector)
+    this.#verifier = new LeadershipVerifier({ clock: time, logger: logger.child({ vm: name }), control })
+    this.#host = { clock: time, logger: logger.child({ vm: name }), vm: name, control, claims, promoter, ...this.#handler.createPromotionCallbacks() }
   }
 
   /** Registers endpoints in this VM's view; all of the group by default. */
@@ -158,12 +177,48 @@
     return this.isRunning && other.isRunning && !this.unreachableVms.has(other.name) && !other.unreachableVms.has(this.name)
   }
 
+  /** Whether the VM runs and does not stand still. */
+  get isAwake (): boolean {
+    return this.isRunning && this.process.frozenUntilMs <= this.#fleet.time.readNow()
+  }
+
+  /** Has the VM stand still for `ms` milliseconds. */
+  freeze (ms: number): void {
+    this.process.frozenUntilMs = this.#fleet.time.readNow() + ms
+  }
+
+  /** Runs a function as part of this VM's process, once that does not stand still; not if it has ended. */
+  runAsVm (run: () => void): void {
+    const { time } = this.#fleet
+    const runIfRunning = (): void => { if (this.isRunning) time.runAs(this.process, run) }
+    if (this.process.frozenUntilMs <= time.readNow()) runIfRunning()
+    else time.waitWhileFrozen(this.process).then(runIfRunning, () => {})
+  }
+
+  /** Asks the endpoints which of them leads, as after a statement that the known primary refused. */
+  findPrimary (): void {
+    this.#verifier.findPrimary(this.group).catch(() => {}) // An endpoint that does not respond is no fault.
+  }
+
+  /** Has the VM replace the primary when there is a reason to. */
+  startWatch (): void {
+    const { time, logger } = this.#fleet
+    const options = { clock: time, logger: logger.child({ vm: this.name }), members: this.members, host: this.#host, listGroups: () => this.isRunning ? [this.group] : [], poll: () => this.pollOthers(), recordResult: () => {} }
+    this.#watch = new FailoverWatch(options)
+    this.#watch.start()
+  }
+
+  #handlePrimaryChange (service: string): void {
+    this.primaryChangedAtMs = this.#fleet.time.readNow()
+    this.#watch?.recordPrimaryChange(service)
+  }
+
   pollOthers (): void {
     const nowMs = this.#fleet.time.readNow()
     for (const member of this.members.members.values()) {
       const other = this.#fleet.vms.get(member.entry.vm)
       recordPoll(member, nowMs)
-      if (other === undefined || !this.canReach(other)) continue
+      if (other?.isAwake !== true || !this.canReach(other)) continue
       recordReport(this.members, other.name, nowMs)
       const { createReport } = other.#handler.createHandlers()
       this.#handler.createHandlers().applyReport(other.name, createReport(this.name, { type: 'poll', sequence: 1, vmsKnown: this.members.members.size + 1 }), nowMs)
@@ -171,10 +226,10 @@
   }
 
   #send (name: string, message: FleetMessage): void {
-    setTimeout(() => {
+    this.#fleet.time.runAs(undefined, () => setTimeout(() => {
       const other = this.#fleet.vms.get(name)
-      if (other !== undefined && this.canReach(other)) other.#handler.createHandlers().handleMessage(this.name, message)
-    }, MESSAGE_DELAY_MS)
+      if (other !== undefined && this.canReach(other)) other.runAsVm(() => other.#handler.createHandlers().handleMessage(this.name, message))
+    }, MESSAGE_DELAY_MS))
   }
 
   #createHandler (inquiries: ClaimInquiries): FleetMessageHandler {
@@ -182,7 +237,7 @@
     const quotas = { createDemandReport: () => [], recordVmDemand: () => {} }
     const options = { clock: time, logger, self: this.members.self, configuration: { subscribe: () => {}, version: 0, current: null }, groups: { find: () => this.group, list: () => [this.group] }, quotas, members: this.members, quotaRecord: {} }
     const handler = new FleetMessageHandler(options as unknown as FleetMessageHandlerOptions)
-    const [fleet, failover, permits] = [{ send: (vm: string, message: FleetMessage) => this.#send(vm, message), poll: () => {} }, { recordPrimaryChange: () => {} }, {}]
+    const [fleet, failover, permits] = [{ send: (vm: string, message: FleetMessage) => this.#send(vm, message), poll: () => {} }, { recordPrimaryChange: (service: string) => this.#handlePrimaryChange(service) }, {}]
     handler.connect(fleet as never, failover as never, permits as never, inquiries)
     return handler
   }
@@ -193,19 +248,47 @@
   }
 }
 
+/** Times of a call's way to the store and back; `null` if its answer is lost. */
+export type StoreDelays = [toStoreMs: number, toVmMs: number | null]
+
+interface SimulatedStoreOptions { canReach: () => boolean, drawDelays: () => StoreDelays, time: VirtualTime, process: SimulatedProcess }
+
 /** A VM's access to the fleet's store, while it runs and reaches the store. */
 class SimulatedStore extends MemoryStore {
-  readonly #canReach: () => boolean
+  readonly #options: SimulatedStoreOptions
 
-  constructor (state: MemoryStoreState, canReach: () => boolean) {
+  constructor (state: MemoryStoreState, options: SimulatedStoreOptions) {
     super(state)
-    this.#canReach = canReach
+    this.#options = options
+  }
+
+  override async find (kind: WritableKind, name: string): Promise<StoredObject<unknown> | undefined> {
+    return await this.#exchange(async () => await super.find(kind, name))
+  }
+
+  protected override async sendWrite (kind: WritableKind, name: string, value: unknown, number: number | null): Promise<Revision> {
+    return await this.#exchange(async () => await super.sendWrite(kind, name, value, number))
   }
 
   protected override beginCall (): Revision {
-    if (!this.#canReach()) throw new MetadataError('the VM does not reach the store')
+    if (!this.#options.canReach()) throw new MetadataError('the VM does not reach the store')
     return super.beginCall()
   }
+
+  /** Makes a call. One whose answer does not come in time may be executed later. */
+  async #exchange<T> (call: () => Promise<T>): Promise<T> {
+    const { drawDelays, time, process } = this.#options
+    const [toStoreMs, toVmMs] = drawDelays()
+    if (toStoreMs === 0 && toVmMs === 0) return await call()
+    const exchange = async (): Promise<T> => {
+      await time.waitOutside(toStoreMs)
+      const result = await call()
+      await time.waitOutside(toVmMs ?? Infinity)
+      await time.waitWhileFrozen(process)
+      return result
+    }
+    return await waitAtMost(exchange(), STORE_TIMEOUT_MS, () => new MetadataError('no response from the store in time'))
+  }
 }
 
 class SimulatedPromoter extends Promoter {
@@ -220,17 +303,31 @@
 
   override async promote (order: PromotionOrder, timeoutMs: number): Promise<PromotionResult> {
     this.#vm.orders.push(order)
+    const { platform } = this.#fleet
+    if (platform !== undefined) return await this.#sendOrder(platform, order, timeoutMs)
     if (!this.#vm.isRunning || this.#vm.losesOrders) {
       await new Promise(resolve => setTimeout(resolve, timeoutMs))
       return 'unknown'
     }
     this.#fleet.recordOrder(order)
     const orderedAtMs = Date.now()
-    setTimeout(() => this.#fleet.group.promote(order.endpoint, orderedAtMs), this.#vm.promotionDelayMs)
+    this.#fleet.time.runAs(undefined, () => setTimeout(() => this.#fleet.group.promote(order.endpoint, orderedAtMs), this.#vm.promotionDelayMs))
     if (!this.#vm.losesAnswers) return 'accepted'
     await new Promise(resolve => setTimeout(resolve, timeoutMs))
     return 'unknown'
   }
+
+  async #sendOrder (platform: SimulatedPlatform, order: PromotionOrder, timeoutMs: number): Promise<PromotionResult> {
+    const { time } = this.#fleet
+    const expired = new Promise<PromotionResult>(resolve => setTimeout(() => resolve('unknown'), timeoutMs))
+    if (!this.#vm.isRunning || this.#vm.losesOrders) return await expired
+    this.#fleet.recordOrder(order)
+    const answered = platform.receive(order).then(async result => {
+      await time.waitWhileFrozen(this.#vm.process)
+      return result
+    })
+    return await Promise.race([answered, expired])
+  }
 }
 
 /** Opens no connection: statements of the simulation do not use the pool. */
