--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -2,7 +2,7 @@
 import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
 import type { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import type { FailoverWatch } from '../failover/failover-watch.ts'
-import type { PromotionHost, Revocation } from '../failover/run-promotion.ts'
+import type { PromotionHost, Revocation } from '../failover/promotion-attempt.ts'
 import { isLeadershipRevoked, recordLeadership, restoreLeadership, revokeLeadership } from '../freshness/group-state.ts'
 import { listUncovered, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { GroupTable } from '../groups/group-table.ts'
@@ -114,6 +114,7 @@
 
   #applyReport (vm: string, report: Report, pollSentAtMs: number): void {
     const { configuration, groups, quotas, clock, logger } = this.#options
+    configuration.recordReportedVersion(report.configurationVersion)
     if (applyReportedVersion(this.#configurationFetch, report.configurationVersion, configuration.version, clock.readNow())) {
       logger.info('configuration requested from another vm', { vm, version: report.configurationVersion, localVersion: configuration.version })
       this.#fleet?.send(vm, { type: 'configurationWanted' })
