Use the product's configuration holder in simulated VMs

Simulated VMs had an object of three fields in its place. Since reports pass on the configuration's version, 24 histories and a test of promotion-safety.test.ts failed with 'configuration.recordReportedVersion is not a function'.

--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -1,6 +1,7 @@
 import { createSeededRandom, type Logger } from '@camphorpitch/wire'
 import { EndpointConnector } from '../backend/endpoint-connector.ts'
 import { Promoter, type PromotionOrder, type PromotionResult } from '../backend/promoter.ts'
+import { ConfigurationHolder } from '../configuration/configuration-holder.ts'
 import type { PromotionReason } from '../failover/decide-promotion.ts'
 import { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import { ControlConnections } from '../failover/control-connections.ts'
@@ -236,7 +237,7 @@
   #createHandler (inquiries: ClaimInquiries): FleetMessageHandler {
     const { time, logger } = this.#fleet
     const quotas = { createDemandReport: () => [], recordVmDemand: () => {} }
-    const options = { clock: time, logger, self: this.members.self, configuration: { subscribe: () => {}, version: 0, current: null }, groups: { find: () => this.group, list: () => [this.group] }, quotas, members: this.members, quotaRecord: {} }
+    const options = { clock: time, logger, self: this.members.self, configuration: new ConfigurationHolder(logger), groups: { find: () => this.group, list: () => [this.group] }, quotas, members: this.members, quotaRecord: {} }
     const handler = new FleetMessageHandler(options as unknown as FleetMessageHandlerOptions)
     const [fleet, failover, permits] = [{ send: (vm: string, message: FleetMessage) => this.#send(vm, message), poll: () => {} }, { recordPrimaryChange: (service: string) => this.#handlePrimaryChange(service) }, {}]
     handler.connect(fleet as never, failover as never, permits as never, inquiries)
