--- a/packages/gateway/src/failover/promotion-orders.test.ts
+++ b/packages/gateway/src/failover/promotion-orders.test.ts
@@ -196,7 +196,7 @@
     const attempts: Array<string | null> = []
     for (let elapsedMs = 0; elapsedMs < 19_000; elapsedMs += 100) {
       vm2.commit()
-      if (elapsedMs % 6_000 === 5_900) vm2.promote('primary lost').then(p => attempts.push(p), () => {}) // The claim may still be held.
+      if (elapsedMs % 6_000 === 5_900 && !attempts.includes('a')) vm2.promote('primary lost').then(p => attempts.push(p), () => {}) // The claim may still be held.
       await fleet.advance(100)
     }
     expect(fleet.group.lost).to.deep.equal([])
