Pause replicas whose entries have lapsed when a primary is replaced

Callers lost acknowledged commits: a replica that does not reach the store leaves the directory, but goes on receiving, and its receipt acknowledges commits. A promotion looked only at the registered endpoints and took a departed replica for covered by the primary's log at the time of its departure.

A departure now keeps the endpoint's address. Unless it is known to be gone (it has started again, nothing listens at its address, another endpoint does, or it had announced its shutdown and no longer responds), the attempt pauses it there, requires its position of the candidate, and resumes it at its end. One that can't be paused counts as unfenced. VMs tell each other addresses and which departures are gone. Replicas that come, or come back, after the attempt began are paused and counted in the same way; before, they were neither in the attempt's list nor departed any more. An endpoint without an entry is not promoted.

Simulated endpoints that have left refuse connections now, as closed ports do; an endpoint that a VM does not reach stays silent.

--- a/packages/gateway/src/failover/check-leadership.ts
+++ b/packages/gateway/src/failover/check-leadership.ts
@@ -9,7 +9,7 @@
  *
  * @throws Error if there is one
  */
-export function ensureNotReplaced (attempt: Attempt, statuses: readonly EndpointResult[]): void {
+export function ensureNotReplaced (attempt: Attempt, statuses: ReadonlyArray<{ entry: EndpointResult['entry'] | { endpoint: string }, status: EndpointStatus }>): void {
   const { group, term, knownPrimary, oldPrimary } = attempt
   const leading = statuses.find(({ entry, status }) => status.role === 'primary' && status.term > (knownPrimary?.term ?? 0) && (entry !== oldPrimary || status.term >= term))
   if (leading !== undefined) group.adoptPrimary(leading.entry.endpoint, leading.status.term, 'promotion attempt')
--- a/packages/gateway/src/failover/control-connections.ts
+++ b/packages/gateway/src/failover/control-connections.ts
@@ -13,6 +13,9 @@
 /** Runs one command on an open connection; resolves to `null` if the endpoint was too busy or refused it. */
 export type ControlCommand = (connection: EndpointConnection) => Promise<EndpointStatus | null>
 
+/** The endpoint that a command is for. */
+export type ControlTarget = Pick<EndpointEntry, 'endpoint' | 'service' | 'address'>
+
 interface CachedConnection { connection: Promise<EndpointConnection>, timer: NodeJS.Timeout | undefined }
 
 /** Connections for status requests and commands to endpoints. They are opened when needed and reused until idle. */
@@ -31,7 +34,7 @@
    * @throws ConnectionLostError if the endpoint could not be reached or did not respond in time
    * @throws EndpointRefusedError if the endpoint responded that it does not accept the connection
    */
-  async run (entry: EndpointEntry, command: ControlCommand): Promise<EndpointStatus | null> {
+  async run (entry: ControlTarget, command: ControlCommand): Promise<EndpointStatus | null> {
     const cached = this.#acquire(entry)
     clearTimeout(cached.timer)
     try {
@@ -45,7 +48,7 @@
     }
   }
 
-  #acquire (entry: EndpointEntry): CachedConnection {
+  #acquire (entry: ControlTarget): CachedConnection {
     const existing = this.#cached.get(entry.endpoint)
     if (existing !== undefined) return existing
     const { endpoint, service, address } = entry
--- /dev/null
+++ b/packages/gateway/src/failover/fence-departures.test.ts
@@ -0,0 +1,104 @@
+import { expect } from 'chai'
+import { ConnectionLostError, EndpointRefusedError } from '../backend/errors.ts'
+import { SimulatedFleet, type SimulatedVm } from '../testing/simulated-vm.ts'
+import { isEnded } from './fence-departures.ts'
+
+describe('promotion while a replica without an entry still runs', () => {
+  let fleet: SimulatedFleet
+
+  beforeEach(() => { fleet = new SimulatedFleet(['p', 'a', 'b']) })
+  afterEach(() => fleet.time.stop())
+
+  /** The entry of `a` lapses on all VMs. Then vm2 commits twice; the last commit is on `p` and `a` only. */
+  async function setUpLapse (): Promise<[SimulatedVm, SimulatedVm]> {
+    const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+    for (const vm of [vm1, vm2]) vm.addEndpoints()
+    for (const vm of [vm1, vm2]) vm.group.removeEntry('a')
+    for (const vm of [vm1, vm2]) vm.commit()
+    await fleet.advance(50)
+    fleet.group.find('b').isDeaf = true
+    vm2.commit()
+    await fleet.advance(50)
+    return [vm1, vm2]
+  }
+
+  async function crashAndPromote (vm: SimulatedVm): Promise<string | null> {
+    fleet.group.find('p').isRunning = false
+    const promoted = vm.promote('primary lost')
+    await fleet.advance(6_000)
+    return await promoted
+  }
+
+  it('loses no commit that only this replica has, and promotes it once its entry is back', async () => {
+    const [vm1, vm2] = await setUpLapse()
+    vm2.kill()
+    expect(await crashAndPromote(vm1)).to.equal(null)
+    expect(fleet.group.find('a').isPaused).to.equal(false)
+    vm1.addEndpoints('a')
+    expect(await crashAndPromote(vm1)).to.equal('a')
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
+  it('loses no commit that only this replica has, although the promoting VM does not reach it', async () => {
+    const [vm1, vm2] = await setUpLapse()
+    vm2.kill()
+    vm1.connector.unreachable.add('a')
+    expect(await crashAndPromote(vm1)).to.equal(null)
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
+  it('loses no commit that only this replica has, although its entry is back before the replicas are compared', async () => {
+    const [vm1, vm2] = await setUpLapse()
+    vm2.kill()
+    fleet.group.find('p').isRunning = false
+    const promoted = vm1.promote('primary lost')
+    await fleet.advance(600)
+    vm1.addEndpoints('a')
+    await fleet.advance(6_000)
+    await promoted
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
+  it('pauses a replica that it knows from another VM only', async () => {
+    const [vm1, vm2] = await setUpLapse()
+    fleet.group.find('b').isDeaf = false
+    await fleet.advance(50)
+    fleet.exchangeReports()
+    const vm3 = fleet.startVm('vm3')
+    vm3.addEndpoints('p', 'b')
+    fleet.exchangeReports()
+    for (const vm of [vm1, vm2]) vm.kill()
+    fleet.group.find('b').isDeaf = true
+    vm3.unreachableVms.add('vm1')
+    vm3.unreachableVms.add('vm2')
+    const promoted = vm3.promote('primary lost')
+    await fleet.advance(400)
+    expect(fleet.group.find('a').isPaused).to.equal(true)
+    await fleet.advance(6_000)
+    await promoted
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
+  it('remains possible if the replica had announced its shutdown and no longer responds', async () => {
+    const vm = fleet.startVm('vm1')
+    fleet.startVm('vm2').kill()
+    vm.addEndpoints()
+    vm.commit()
+    await fleet.advance(50)
+    fleet.group.find('a').isDraining = true
+    vm.addEndpoints('a')
+    fleet.group.find('a').isRunning = false
+    vm.group.removeEntry('a')
+    vm.commit()
+    await fleet.advance(50)
+    expect(await crashAndPromote(vm)).to.equal('b')
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
+  it('takes a replica for gone if nothing listens at its address or another endpoint does', () => {
+    expect(isEnded(new ConnectionLostError('ECONNREFUSED', { props: { isRefused: true } }))).to.equal(true)
+    expect(isEnded(new EndpointRefusedError('another id', { props: { code: 'misrouted' } }))).to.equal(true)
+    expect(isEnded(new EndpointRefusedError('too many connections', { props: { code: 'tooMany' } }))).to.equal(false)
+    expect(isEnded(new ConnectionLostError('no answer to the connection attempt'))).to.equal(false)
+  })
+})
--- a/packages/gateway/src/failover/promotion-attempt.ts
+++ b/packages/gateway/src/failover/promotion-attempt.ts
@@ -63,6 +63,8 @@
   term: number
   oldPrimary: EndpointEntry | undefined
   replicas: EndpointEntry[]
+  /** Replicas that have left the group, or that have come (back) since the attempt began, by start. */
+  departures: Map<string, ReportedDeparture>
   /** Time at which the status request was sent to which the new primary responded that it leads. */
   leadershipVerifiedAtMs: number
   /** An order of this or an earlier attempt that may still take effect. */
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -1,8 +1,9 @@
 import { comparePositions, describeError, pickLaterPosition } from '@camphorpitch/wire'
-import { formatStart, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
+import { formatStart, mergeDepartures, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { ensureLatestPrimary } from './check-leadership.ts'
 import { pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
+import { fenceDepartures, resumeDepartures } from './fence-departures.ts'
 import { fencePlannedChange, fenceReplicas, updateTerm, waitForLeases, type FencedGroup } from './fence-group.ts'
 import { requestPromotion } from './order-promotion.ts'
 import { REVOKE_TIMEOUT_MS, runOnAll, type Attempt, type PromotionHost, type Revocation } from './promotion-attempt.ts'
@@ -36,7 +37,7 @@
   const knownPrimary = group.state.primary === null ? null : { ...group.state.primary }
   const openOrder = claim.order !== null && claim.order.term > (knownPrimary?.term ?? 0) ? claim.order : null
   const term = Math.max((knownPrimary?.term ?? 0) + 1, openOrder?.term ?? 0)
-  const attempt: Attempt = { host, group, reason, claim, knownPrimary, oldPrimary, replicas: entries.filter(e => e !== oldPrimary), leadershipVerifiedAtMs: -Infinity, term, openOrder, mayHaveRecordedOrder: claim.order !== null }
+  const attempt: Attempt = { host, group, reason, claim, knownPrimary, oldPrimary, replicas: entries.filter(e => e !== oldPrimary), departures: new Map(), leadershipVerifiedAtMs: -Infinity, term, openOrder, mayHaveRecordedOrder: claim.order !== null }
   host.logger.warn('promotion started', { service: group.service, reason, oldPrimary: oldPrimary?.endpoint, term, fencingToken: claim.fencingToken, openOrder })
   let promoted: string | null = null
   try {
@@ -59,9 +60,15 @@
   const fencedAtMs = host.clock.readNow()
   const revocation = await pendingRevocation
   ensureLatestPrimary(attempt, revocation.latestPrimary, fenced.endpoints)
-  if (!revocation.hasEveryVmConfirmed) fenced = await waitForLeases(attempt, fenced, fencedAtMs)
-  const { departures, unknownReplicas } = mergeEndpoints(attempt, revocation)
-  const unfencedReplicas = fenced.unfencedReplicas + unknownReplicas.length
+  const unknownReplicas = mergeEndpoints(attempt, revocation)
+  let fencedDepartures = await fenceDepartures(attempt)
+  if (!revocation.hasEveryVmConfirmed) {
+    fenced = await waitForLeases(attempt, fenced, fencedDepartures.hasPaused ? host.clock.readNow() : fencedAtMs)
+    mergeEndpoints(attempt, revocation)
+    fencedDepartures = await fenceDepartures(attempt)
+  }
+  const { departures } = fencedDepartures
+  const unfencedReplicas = fenced.unfencedReplicas + unknownReplicas.length + fencedDepartures.unfencedReplicas
   const ordered = findOrdered(attempt, fenced, revocation)
   const candidate = ordered ?? pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas, departures })
   host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: fenced.endpoints, unfencedReplicas, unknownReplicas, departures, acknowledged: revocation.acknowledged, openOrder: attempt.openOrder, hasEveryVmConfirmed: revocation.hasEveryVmConfirmed, hasEveryAcknowledgement: revocation.hasEveryAcknowledgement })
@@ -90,22 +97,23 @@
 }
 
 /**
- * Lists the replicas that have left the group, and those that other VMs know and this one does not. Departures of the old primary do not
- * count: its commits were received by a replica as well.
+ * Records the replicas that have left the group, and those that have come (back) since the attempt began. Departures of the old primary
+ * do not count: its commits were received by a replica as well.
+ *
+ * @returns the replicas that other VMs know and this one does not
  */
-function mergeEndpoints ({ group, knownPrimary }: Attempt, revocation: Revocation): { departures: ReportedDeparture[], unknownReplicas: EndpointStart[] } {
-  const present = new Set([...group.pools.values()].map(p => formatStart(p.entry)))
-  const departures = new Map(group.departures.map(({ endpoint, startedAtMs, logEnd }) => [formatStart({ endpoint, startedAtMs }), { endpoint, startedAtMs, logEnd }]))
-  for (const departure of revocation.departures) {
-    const key = formatStart(departure)
-    if (!present.has(key) && departures.get(key)?.logEnd == null) departures.set(key, departure)
-  }
-  const unknown = new Map(revocation.endpoints.map(e => [formatStart(e), e]))
+function mergeEndpoints ({ group, knownPrimary, oldPrimary, replicas, departures }: Attempt, revocation: Revocation): EndpointStart[] {
+  const counted = new Set([...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].map(formatStart))
   const isReplica = ({ endpoint }: EndpointStart): boolean => endpoint !== knownPrimary?.endpoint
-  return {
-    departures: [...departures.values()].filter(isReplica),
-    unknownReplicas: [...unknown].filter(([key, e]) => !present.has(key) && !departures.has(key) && isReplica(e)).map(([, e]) => e)
+  const merge = (departure: ReportedDeparture): void => { departures.set(formatStart(departure), mergeDepartures(departures.get(formatStart(departure)), departure)) }
+  for (const { noticedAtMs, ...departure } of group.departures.filter(isReplica)) merge(departure)
+  for (const { entry: { endpoint, startedAtMs, address, isDraining }, latestPosition } of group.pools.values()) {
+    const late = { endpoint, startedAtMs, address, isDraining, latestPosition, logEnd: null }
+    if (!counted.has(formatStart(late)) && isReplica(late)) merge(late)
   }
+  for (const departure of revocation.departures.filter(isReplica)) if (!counted.has(formatStart(departure))) merge(departure)
+  const unknown = new Map(revocation.endpoints.map(e => [formatStart(e), e]))
+  return [...unknown].filter(([key, e]) => !counted.has(key) && !departures.has(key) && isReplica(e)).map(([, e]) => e)
 }
 
 /**
@@ -128,7 +136,7 @@
     host.publishOutcome(group, null, term, attempt.leadershipVerifiedAtMs)
   }
   const others = [...group.pools.values()].map(p => p.entry).filter(e => e.endpoint !== promoted && e !== oldPrimary)
-  await runOnAll(attempt, others, async c => await c.resume())
+  await Promise.all([runOnAll(attempt, others, async c => await c.resume()), resumeDepartures(attempt)])
   if (oldPrimary !== undefined && promoted !== null && promoted !== oldPrimary.endpoint) await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
   await host.claims.release({ ...attempt.claim, order: null })
 }
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -105,7 +105,7 @@
       demand: quotas.createDemandReport(vm),
       configurationVersion: configuration.version
     }
-    const departures = groups.list().flatMap(g => listUncovered(g.departures, g.state.acknowledged).map(({ endpoint, startedAtMs }) => ({ service: g.service, endpoint, startedAtMs })))
+    const departures = groups.list().flatMap(g => listUncovered(g.departures, g.state.acknowledged).map(({ endpoint, startedAtMs, address, isDraining, isGone }) => ({ service: g.service, endpoint, startedAtMs, address, isDraining, isGone })))
     if (departures.length > 0) report.departures = departures
     const recentlyResponsive = listRecentlyResponsive(members, nowMs)
     if (members.hasMemberList && recentlyResponsive.length + 1 > poll.vmsKnown) report.vms = recentlyResponsive.map(m => m.entry)
@@ -213,6 +213,6 @@
 function listEndpointStarts (group: ServiceGroup | undefined, primaryEndpoint: string): { endpoints: EndpointStart[], departures: ReportedDeparture[] } {
   const isSamePrimary = group?.state.primary?.endpoint === primaryEndpoint
   const endpoints = [...group?.pools.values() ?? []].map(({ entry: { endpoint, startedAtMs } }) => ({ endpoint, startedAtMs }))
-  const departures = (group?.departures ?? []).map(({ endpoint, startedAtMs, logEnd }) => ({ endpoint, startedAtMs, logEnd: isSamePrimary ? logEnd : null }))
+  const departures = (group?.departures ?? []).map(({ endpoint, startedAtMs, logEnd, address, isDraining, isGone }) => ({ endpoint, startedAtMs, logEnd: isSamePrimary ? logEnd : null, address, isDraining, isGone }))
   return { endpoints, departures }
 }
--- a/packages/gateway/src/fleet/message-schemas.ts
+++ b/packages/gateway/src/fleet/message-schemas.ts
@@ -74,7 +74,7 @@
   demand: z.array(z.tuple([z.string(), z.number()])),
   configurationVersion: z.number().int(),
   /** Endpoints that have left their groups, and whose commits the remaining ones may not hold yet; absent if there are none. */
-  departures: z.array(z.object({ service: z.string(), endpoint: z.string(), startedAtMs: z.number() })).optional(),
+  departures: z.array(z.object({ service: z.string(), endpoint: z.string(), startedAtMs: z.number(), address: z.string().optional(), isDraining: z.boolean().optional(), isGone: z.boolean().optional() })).optional(),
   /** All VMs that the sender knows to be running; only if the poll's sender knows fewer. */
   vms: z.array(vmEntrySchema).optional()
 })
@@ -107,7 +107,7 @@
   /** The group's endpoints that the sender knows. */
   endpoints: z.array(z.object({ endpoint: z.string(), startedAtMs: z.number() })).default([]),
   /** Endpoints that the sender has seen leave the group or restart without their logs. */
-  departures: z.array(z.object({ endpoint: z.string(), startedAtMs: z.number(), logEnd: logPositionSchema.nullable() })).default([]),
+  departures: z.array(z.object({ endpoint: z.string(), startedAtMs: z.number(), logEnd: logPositionSchema.nullable(), address: z.string().optional(), isDraining: z.boolean().optional(), isGone: z.boolean().optional() })).default([]),
   /** Age of the sender's latest acknowledged commit; absent without one. */
   lastCommitAgeMs: z.number().optional(),
   /** Time since the sender's start. */
--- a/packages/gateway/src/groups/departures.ts
+++ b/packages/gateway/src/groups/departures.ts
@@ -17,12 +17,22 @@
    * `null` while the primary has not responded since.
    */
   logEnd: LogPosition | null
+  /** Its last known address. */
+  address?: string
+  /** Latest position that its log is known to have had. */
+  latestPosition?: LogPosition | null
+  /** Whether it had announced its shutdown. */
+  isDraining?: boolean
+  /** Whether this start is known to have ended. Otherwise it may still run, receive and have commits acknowledged, although its entry has lapsed. */
+  isGone?: boolean
 }
 
 /** One start of an endpoint; the endpoint may start again under the same name without its log. */
 export type EndpointStart = Pick<EndpointEntry, 'endpoint' | 'startedAtMs'>
 /** A departure as one VM reports it to another. */
 export type ReportedDeparture = Omit<Departure, 'noticedAtMs'>
+/** What a VM knows of an endpoint when it notices its departure. */
+export type DepartedEndpoint = Omit<Departure, 'noticedAtMs' | 'logEnd'>
 
 /** Formats a key for one start of an endpoint. */
 export function formatStart ({ endpoint, startedAtMs }: EndpointStart): string {
@@ -30,8 +40,8 @@
 }
 
 /** Adds a departure. */
-export function addDeparture (departures: Departure[], { endpoint, startedAtMs }: EndpointStart, nowMs: number): void {
-  departures.push({ endpoint, startedAtMs, noticedAtMs: nowMs, logEnd: null })
+export function addDeparture (departures: Departure[], departed: DepartedEndpoint, nowMs: number): void {
+  departures.push({ ...departed, noticedAtMs: nowMs, logEnd: null })
   if (departures.length > MAX_DEPARTURES) departures.shift()
 }
 
@@ -40,15 +50,30 @@
   for (const departure of departures) departure.logEnd = null
 }
 
-/** Lists the latest departures that a candidate's log might not cover: no commit beyond their log end is known to be acknowledged. */
+/**
+ * Lists the latest departures that a candidate's log might not cover: no commit beyond their log end is known to be acknowledged, or
+ * the endpoint may still receive commits.
+ */
 export function listUncovered (departures: readonly Departure[], acknowledged: LogPosition | null): Departure[] {
-  return departures.filter(({ logEnd }) => logEnd === null || acknowledged === null || comparePositions(acknowledged, logEnd) <= 0).slice(-MAX_REPORTED_DEPARTURES)
+  return departures.filter(({ logEnd, isGone }) => isGone !== true || logEnd === null || acknowledged === null || comparePositions(acknowledged, logEnd) <= 0).slice(-MAX_REPORTED_DEPARTURES)
 }
 
-/** Removes the departure of an endpoint that has come back with its log. */
+/** Removes the departure of an endpoint that has come back with its log. Its earlier starts have ended. */
 export function removeDeparture (departures: Departure[], { endpoint, startedAtMs }: EndpointEntry): void {
   const index = departures.findIndex(d => d.endpoint === endpoint && d.startedAtMs === startedAtMs)
   if (index >= 0) departures.splice(index, 1)
+  for (const departure of departures) if (departure.endpoint === endpoint) departure.isGone = true
+}
+
+/** Records that a start of an endpoint has ended. */
+export function recordGone (departures: readonly Departure[], start: EndpointStart): void {
+  const departure = departures.find(d => formatStart(d) === formatStart(start))
+  if (departure !== undefined) departure.isGone = true
+}
+
+/** Merges what two VMs know of a departure; `reported` is of the VM that does not promote. */
+export function mergeDepartures (known: ReportedDeparture | undefined, reported: ReportedDeparture): ReportedDeparture {
+  return { ...reported, ...known, logEnd: known?.logEnd ?? reported.logEnd, address: known?.address ?? reported.address, isDraining: known?.isDraining === true || reported.isDraining === true, isGone: known?.isGone === true || reported.isGone === true }
 }
 
 /** Records the end of the primary's log in its response to a statement that was sent at `sentAtMs`. */
--- a/packages/gateway/src/groups/group-table.ts
+++ b/packages/gateway/src/groups/group-table.ts
@@ -21,6 +21,8 @@
   recordOpened: (service: string) => void
   /** Called if an endpoint that is not the known primary is registered as primary. */
   checkRole: (group: ServiceGroup, entry: EndpointEntry) => void
+  /** Called if an endpoint has left its group, or if the log ends of departures have become unknown. */
+  handleDeparture: (group: ServiceGroup) => void
 }
 
 /** The groups of all services for which endpoints have been registered. */
@@ -59,8 +61,8 @@
   #findOrCreateGroup (service: string): ServiceGroup {
     const existing = this.#groups.get(service)
     if (existing !== undefined) return existing
-    const { connector, clock, logger, recordOpened } = this.#options
-    const group = new ServiceGroup({ service, connector, clock, logger, readLimits: (g, e) => this.#readLimits(g, e), recordOpened: () => recordOpened(service) })
+    const { connector, clock, logger, recordOpened, handleDeparture } = this.#options
+    const group = new ServiceGroup({ service, handleDeparture, connector, clock, logger, readLimits: (g, e) => this.#readLimits(g, e), recordOpened: () => recordOpened(service) })
     this.#groups.set(service, group)
     return group
   }
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -1,5 +1,5 @@
 import { pickLaterPosition, type Clock, type Logger, type LogPosition } from '@camphorpitch/wire'
-import type { EndpointResponse, EndpointConnector } from '../backend/endpoint-connector.ts'
+import type { EndpointResponse, EndpointConnector, EndpointStatus } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError } from '../backend/errors.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import { createGroupState, isLeadershipRevoked, recordPrimaryResponse, recordCommit, updatePrimary, type GroupState } from '../freshness/group-state.ts'
@@ -7,7 +7,7 @@
 import { recordResponse, recordSent, recordNoResponse } from '../pool/endpoint-health.ts'
 import { EndpointPool } from '../pool/endpoint-pool.ts'
 import { waitAtMost } from '../runtime/wait-at-most.ts'
-import { addDeparture, recordLogEnd, removeDeparture, resetLogEnds, type Departure, type EndpointStart } from './departures.ts'
+import { addDeparture, formatStart, recordLogEnd, removeDeparture, resetLogEnds, type DepartedEndpoint, type Departure } from './departures.ts'
 
 /** A draining endpoint gets no new work after this long, although it continues to serve for some seconds more. */
 export const MAX_DRAINING_USE_MS = 4_000
@@ -20,6 +20,8 @@
   readLimits: (group: ServiceGroup, entry: EndpointEntry) => ConnectionLimits
   /** Called for each connection that is opened to an endpoint. */
   recordOpened: () => void
+  /** Called if an endpoint has left the group, or if the log ends of departures have become unknown. */
+  handleDeparture?: (group: ServiceGroup) => void
 }
 
 /** What another VM reported about the primary. Times are on this VM's clock, in milliseconds. */
@@ -74,7 +76,7 @@
   updateEntry (entry: EndpointEntry): void {
     const { clock, connector, logger, readLimits, recordOpened } = this.#options
     const pool = this.pools.get(entry.endpoint)
-    if (pool !== undefined && pool.entry.startedAtMs !== entry.startedAtMs) addDeparture(this.departures, pool.entry, clock.readNow())
+    if (pool !== undefined && pool.entry.startedAtMs !== entry.startedAtMs) this.#addDeparture({ ...describeDeparted(pool), isGone: true })
     removeDeparture(this.departures, entry)
     if (pool !== undefined && pool.entry.address === entry.address) pool.updateEntry(entry)
     else {
@@ -88,15 +90,26 @@
   removeEntry (endpoint: string): void {
     const pool = this.pools.get(endpoint)
     pool?.stop()
-    if (pool !== undefined) addDeparture(this.departures, pool.entry, this.#options.clock.readNow())
+    if (pool !== undefined) this.#addDeparture(describeDeparted(pool))
     this.pools.delete(endpoint)
     this.#publishChange()
   }
 
   /** Records a departure that another VM has seen, for which this VM may have started too late. */
-  addReportedDeparture (start: EndpointStart): void {
-    const isKnown = [...[...this.pools.values()].map(p => p.entry), ...this.departures].some(e => e.endpoint === start.endpoint && e.startedAtMs === start.startedAtMs)
-    if (!isKnown) addDeparture(this.departures, start, this.#options.clock.readNow())
+  addReportedDeparture (departed: DepartedEndpoint): void {
+    const isKnown = [...[...this.pools.values()].map(p => p.entry), ...this.departures].some(e => formatStart(e) === formatStart(departed))
+    if (!isKnown) this.#addDeparture({ ...departed, isGone: departed.isGone === true || this.pools.has(departed.endpoint) })
+  }
+
+  /** Records the end of the primary's log in its response to a status request that was sent at `sentAtMs`. */
+  recordPrimaryStatus (endpoint: string, { term, received }: Pick<EndpointStatus, 'term' | 'received'>, sentAtMs: number): void {
+    this.adoptPrimary(endpoint, term, 'status')
+    if (this.state.primary?.endpoint === endpoint && this.state.primary.term === term) recordLogEnd(this.departures, received, sentAtMs)
+  }
+
+  #addDeparture (departed: DepartedEndpoint): void {
+    addDeparture(this.departures, departed, this.#options.clock.readNow())
+    this.#options.handleDeparture?.(this)
   }
 
   /**
@@ -112,6 +125,7 @@
       this.unansweredWriteSinceMs = null
       this.peers.clear()
       resetLogEnds(this.departures)
+      if (this.departures.length > 0) this.#options.handleDeparture?.(this)
     }
     this.withoutPrimarySinceMs = null
     this.#options.logger.info('primary changed', { service: this.service, endpoint, term, source, previousPrimary: previous })
@@ -199,3 +213,7 @@
     for (const listener of [...this.#changeListeners]) listener()
   }
 }
+
+function describeDeparted ({ entry: { endpoint, startedAtMs, address, isDraining }, latestPosition }: EndpointPool): DepartedEndpoint {
+  return { endpoint, startedAtMs, address, isDraining, latestPosition }
+}
--- a/packages/gateway/src/testing/simulated-group.ts
+++ b/packages/gateway/src/testing/simulated-group.ts
@@ -162,7 +162,11 @@
     const run = async (command: (e: SimulatedEndpoint) => void): Promise<EndpointStatus> => {
       await new Promise(resolve => setTimeout(resolve, CONTROL_DELAY_MS))
       const found = this.#group.endpoints.get(endpoint)
-      if (found === undefined || !found.isRunning || this.isStopped || this.unreachable.has(endpoint)) throw new ConnectionLostError('endpoint does not respond')
+      if (found === undefined || !found.isRunning || this.isStopped || this.unreachable.has(endpoint)) {
+        // Nothing listens at the address of an endpoint that has left.
+        const isRefused = found === undefined && !this.isStopped && !this.unreachable.has(endpoint)
+        throw new ConnectionLostError('endpoint does not respond', { props: { isRefused } })
+      }
       command(found)
       return found.readStatus()
     }
