Promote no log that lacks a commit which a VM knows to be acknowledged

One replica had been cut off and the other had lost its log in a restart that the directory did not show yet; the old primary, which an earlier attempt had had step down, held the commits and was taken neither for a replica nor for the old primary. A known position was used only to allow a choice, never to rule one out.

Now it rules out every shorter log, and the endpoint that has turned out to be a replica is fenced and compared with the others. Both new tests failed before: `a` was picked by pickCandidate, and `b lacks` the commits in the test with VMs.

--- a/packages/gateway/src/failover/decide-promotion.test.ts
+++ b/packages/gateway/src/failover/decide-promotion.test.ts
@@ -77,6 +77,11 @@
     expect(pickCandidate({ ...allFenced, fenced: [createFenced('a', 5), createFenced('b', 9)] })?.endpoint).to.equal('b')
   })
 
+  it('picks none that lacks a commit which a VM knows to be acknowledged, although every replica is fenced', () => {
+    expect(pickCandidate({ ...allFenced, fenced: [createFenced('a', 5), createFenced('b', 0)], acknowledged: at(9) })).to.equal(undefined)
+    expect(pickCandidate({ ...allFenced, fenced: [createFenced('a', 5), createFenced('b', 0)], acknowledged: at(5) })?.endpoint).to.equal('a')
+  })
+
   it('prefers a replica that is not draining among equally advanced ones', () => {
     expect(pickCandidate({ ...allFenced, fenced: [createFenced('a', 9, { isDraining: true }), createFenced('b', 9)] })?.endpoint).to.equal('b')
   })
--- a/packages/gateway/src/failover/decide-promotion.ts
+++ b/packages/gateway/src/failover/decide-promotion.ts
@@ -109,12 +109,16 @@
  * what the primary's log held after that. If it does not, or a replica could not be fenced or has started recently, the candidate
  * must hold every position that the VMs know to be acknowledged.
  *
+ * A position that any VM knows to be acknowledged rules out a shorter log in any case: then a fenced replica has lost its log in a
+ * restart that is not registered yet, or the group has a replica that is not known to be one.
+ *
  * @returns `undefined` if no choice is safe
  */
 export function pickCandidate (options: CandidateOptions): FencedEndpoint | undefined {
-  const { fenced } = options
+  const { fenced, acknowledged } = options
   const latest = fenced.reduce<LogPosition | null>((max, f) => max === null || comparePositions(f.received, max) > 0 ? f.received : max, null)
-  if (latest === null || !(hasEveryCommit(options, latest) || hasKnownCommits(options, latest))) return undefined
+  if (latest === null || (acknowledged !== null && comparePositions(latest, acknowledged) < 0)) return undefined
+  if (!hasEveryCommit(options, latest) && !hasKnownCommits(options, latest)) return undefined
   const mostAdvanced = fenced.filter(f => comparePositions(f.received, latest) === 0)
   const preferred = mostAdvanced.filter(f => !f.isDraining && !f.isOldPrimary)
   return preferred[0] ?? mostAdvanced.find(f => !f.isDraining) ?? mostAdvanced[0]
--- a/packages/gateway/src/failover/fence-group.ts
+++ b/packages/gateway/src/failover/fence-group.ts
@@ -23,6 +23,7 @@
 /** Counts the endpoint that was taken for the primary among the replicas. */
 export function addOldPrimaryToReplicas (attempt: Attempt): void {
   if (attempt.oldPrimary !== undefined) attempt.replicas = [...attempt.replicas, attempt.oldPrimary]
+  attempt.formerPrimary = attempt.oldPrimary
   attempt.oldPrimary = undefined
 }
 
@@ -52,6 +53,7 @@
 export async function fenceReplicas (attempt: Attempt): Promise<FencedGroup> {
   const { host, replicas, term } = attempt
   const pendingDemotion = demoteOldPrimary(attempt)
+  attempt.pendingDemotion = pendingDemotion
   pendingDemotion.catch(() => {}) // Its result is needed only if a replica could not be paused.
   const paused = await runOnAll(attempt, replicas, async c => await pauseReplica(c, term))
   ensureNotReplaced(attempt, paused)
@@ -104,6 +106,21 @@
   }
 }
 
+/**
+ * Fences the endpoint that was taken for the old primary if it has turned out to be a replica: an earlier attempt has had it step down.
+ *
+ * @returns the group with it; `undefined` if it has not
+ */
+export async function fenceFormerPrimary (attempt: Attempt, { endpoints, unfencedReplicas }: FencedGroup): Promise<FencedGroup | undefined> {
+  await attempt.pendingDemotion
+  const { formerPrimary, term } = attempt
+  if (formerPrimary === undefined || endpoints.some(f => f.endpoint === formerPrimary.endpoint)) return undefined
+  const paused = await runOnAll(attempt, [formerPrimary], async c => await pauseReplica(c, term))
+  ensureNotReplaced(attempt, paused)
+  const fenced = paused.filter(({ status }) => status.role === 'replica' && status.pausedForTerm >= term).map(({ entry, status }) => describeFenced(attempt, entry, status, false))
+  return { endpoints: [...endpoints, ...fenced], unfencedReplicas: unfencedReplicas + 1 - fenced.length }
+}
+
 /** An endpoint whose log is shorter than it has been has lost it, and counts as just started even if its restart is not registered yet. */
 function describeFenced ({ group }: Attempt, entry: EndpointEntry, { received }: EndpointStatus, isOldPrimary: boolean): FencedEndpoint {
   const latest = group.pools.get(entry.endpoint)?.latestPosition ?? null
--- a/packages/gateway/src/failover/promotion-attempt.ts
+++ b/packages/gateway/src/failover/promotion-attempt.ts
@@ -7,7 +7,7 @@
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import type { ControlCommand, ControlConnections } from './control-connections.ts'
-import type { PromotionReason } from './decide-promotion.ts'
+import type { FencedEndpoint, PromotionReason } from './decide-promotion.ts'
 import type { Claim, DutyClaims, OpenOrder } from './duty-claim.ts'
 
 const MAX_BUSY_ATTEMPTS = 4
@@ -62,6 +62,8 @@
   /** Term at which the endpoints are fenced; once the new primary is known, its term. */
   term: number
   oldPrimary: EndpointEntry | undefined
+  /** The endpoint that was taken for the old primary and has turned out to be a replica; it is among `replicas`. */
+  formerPrimary?: EndpointEntry
   replicas: EndpointEntry[]
   /** Replicas that have left the group, or that have come (back) since the attempt began, by start. */
   departures: Map<string, ReportedDeparture>
@@ -71,6 +73,8 @@
   openOrder: OpenOrder | null
   /** Whether the claim's object in the store may hold an order that was not sent. */
   mayHaveRecordedOrder: boolean
+  /** Commands that have the old primary step down; `null` if none were sent. */
+  pendingDemotion: Promise<FencedEndpoint[]> | null
   /** Commands that fence endpoints again while an order is open; `null` if none are running. */
   pendingFence: Promise<void> | null
 }
--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -73,6 +73,23 @@
     expect([...fleet.group.endpoints.values()].filter(e => e.isPaused && e.isRunning)).to.deep.equal([])
   })
 
+  it('loses no commit of a primary that an earlier attempt had step down, and promotes it if a replica has lost its log and the other was cut off', async () => {
+    const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+    for (const vm of [vm1, vm2]) vm.addEndpoints()
+    fleet.group.find('b').isDeaf = true
+    for (let i = 0; i < 5; i++) {
+      vm1.commit()
+      await fleet.advance(50)
+    }
+    fleet.group.find('p').demote(2)
+    fleet.group.find('a').startAgain()
+    fleet.group.find('a').isDeaf = true
+    const promoted = vm2.promote('primary lost')
+    await fleet.advance(3_000)
+    expect(fleet.group.lost).to.deep.equal([])
+    expect(await promoted).to.equal('p')
+  })
+
   it('loses no commit that a replica acknowledges although its entry has lapsed', async () => {
     const vm = fleet.startVm('vm1')
     vm.addEndpoints()
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -5,7 +5,7 @@
 import type { Claim } from './duty-claim.ts'
 import { pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
 import { fenceDepartures, resumeDepartures } from './fence-departures.ts'
-import { fencePlannedChange, fenceReplicas, updateTerm, waitForLeases, type FencedGroup } from './fence-group.ts'
+import { fenceFormerPrimary, fencePlannedChange, fenceReplicas, updateTerm, waitForLeases, type FencedGroup } from './fence-group.ts'
 import { requestPromotion } from './order-promotion.ts'
 import { REVOKE_TIMEOUT_MS, runOnAll, type Attempt, type PromotionHost, type Revocation } from './promotion-attempt.ts'
 import { ensureClaim, ensureOrderCleared } from './promotion-claim.ts'
@@ -67,6 +67,7 @@
     leadershipVerifiedAtMs: -Infinity,
     openOrder,
     mayHaveRecordedOrder: claim.order !== null,
+    pendingDemotion: null,
     pendingFence: null
   }
 }
@@ -102,7 +103,13 @@
   const { departures } = fencedDepartures
   const unfencedReplicas = fenced.unfencedReplicas + unknownReplicas.length + fencedDepartures.unfencedReplicas
   const ordered = findOrdered(attempt, fenced, revocation)
-  const candidate = ordered ?? pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas, departures })
+  let candidate = ordered ?? pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas, departures })
+  const withFormerPrimary = candidate === undefined ? await fenceFormerPrimary(attempt, fenced) : undefined
+  if (withFormerPrimary !== undefined) {
+    const addedUnfenced = withFormerPrimary.unfencedReplicas - fenced.unfencedReplicas
+    fenced = withFormerPrimary
+    candidate = pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas: unfencedReplicas + addedUnfenced, departures })
+  }
   host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: fenced.endpoints, unfencedReplicas, unknownReplicas, departures, acknowledged: revocation.acknowledged, openOrder: attempt.openOrder, hasEveryVmConfirmed: revocation.hasEveryVmConfirmed, hasEveryAcknowledgement: revocation.hasEveryAcknowledgement })
   if (candidate === undefined) return null
   ensureLatestPrimary(attempt, group.state.primary, fenced.endpoints)
