--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -181,7 +181,7 @@
   #createHandler (inquiries: ClaimInquiries): FleetMessageHandler {
     const { time, logger } = this.#fleet
     const quotas = { createDemandReport: () => [], recordVmDemand: () => {} }
-    const options = { clock: time, logger, self: this.members.self, configuration: { subscribe: () => {}, version: 0, current: null }, groups: { find: () => this.group, list: () => [this.group] }, quotas, members: this.members, quotaRecord: {} }
+    const options = { clock: time, logger, self: this.members.self, configuration: { subscribe: () => {}, recordReportedVersion: () => {}, version: 0, current: null }, groups: { find: () => this.group, list: () => [this.group] }, quotas, members: this.members, quotaRecord: {} }
     const handler = new FleetMessageHandler(options as unknown as FleetMessageHandlerOptions)
     const [fleet, failover, permits] = [{ send: (vm: string, message: FleetMessage) => this.#send(vm, message), poll: () => {} }, { recordPrimaryChange: () => {} }, {}]
     handler.connect(fleet as never, failover as never, permits as never, inquiries)
