Ask a counting VM first for small limits, so that what is admitted ahead doesn't grow with the number of VMs

In a fleet of more than nine VMs each VM admitted one operation of a calm workspace and its usual number before a counting VM had counted any.

An operation is admitted ahead only if half of the tolerated excess is one operation or more for each VM; otherwise it waits for the answer of the nearest counting VM. Without an answer within 60 ms it is admitted as before, by the VM's usual number and one more, instead of being refused; a late answer still tells that it was counted, and no second VM is asked to count it.

Ruled out: a hard bound for VMs that reach no counting VM. Each must admit one operation of a small workspace to serve it at all, without knowing how many others are cut off, and 76 such operations exceed the excess.

--- a/packages/gateway/src/limits/permit-requests.test.ts
+++ b/packages/gateway/src/limits/permit-requests.test.ts
@@ -215,6 +215,23 @@
     }
   }
 
+  it('let operations through at once only where all VMs together may do so within the tolerated excess', async () => {
+    const large: Workspace = { name: 'large', keys: [], ratePerSecond: 400, burst: 400 }
+    const small: Workspace = { name: 'small', keys: [], ratePerSecond: 2, burst: 2 }
+    const fleet = new FakeFleet(12, [large, small])
+    fleet.clock.nowMs = 6_000
+    fleet.update()
+    fleet.delayMs = 1_000
+    const isCounting = (vm: FakeVm, { name }: Workspace): boolean => pickCountingVms([...fleet.vms.values()].map(v => v.members.self), name).some(e => e.vm === vm.quotas.vm)
+    const isAdmittedAtOnce = async (workspace: Workspace): Promise<boolean> => {
+      const vm = [...fleet.vms.values()].find(v => !isCounting(v, workspace))!
+      const verdict = vm.permits.request(workspace.name).then(v => v.isAdmitted)
+      return await Promise.race([verdict, new Promise<false>(resolve => setImmediate(() => resolve(false)))])
+    }
+    expect(await isAdmittedAtOnce(large)).to.equal(true)
+    expect(await isAdmittedAtOnce(small)).to.equal(false)
+  })
+
   it('let VMs that reach no counting VM admit most operations of workspaces below their limit, without exceeding a limit', async () => {
     const cutAtMs = 8_000
     const isCut = (nowMs: number): boolean => nowMs >= cutAtMs
--- a/packages/gateway/src/limits/permit-requests.ts
+++ b/packages/gateway/src/limits/permit-requests.ts
@@ -1,5 +1,5 @@
 import type { Clock, Logger } from '@camphorpitch/wire'
-import type { FleetMessage, Permitted } from '../fleet/message-schemas.ts'
+import type { FleetMessage, Permit, Permitted } from '../fleet/message-schemas.ts'
 import type { CountingVms } from './counting-vms.ts'
 import { createDemandWindow, recordDemand, sumDemand } from './demand-window.ts'
 import type { QuotaCounter } from './quota-counter.ts'
@@ -7,7 +7,7 @@
 
 /** Timeout of a request to a counting VM while a client waits for the verdict; well above a round trip between regions. */
 const RESPONSE_TIMEOUT_MS = 60
-/** Timeout of a request to a counting VM if the operation has been admitted already, so that no client waits. */
+/** How long a response may take after which no client waits any more: the operation has been admitted already, or the verdict is no longer awaited. */
 const BACKGROUND_RESPONSE_TIMEOUT_MS = 1_000
 /** No request is sent to a counting VM for this long after it failed to respond. */
 const UNRESPONSIVE_BACKOFF_MS = 1_000
@@ -32,6 +32,9 @@
 
 interface PendingRequest { vm: string, finish: (result: Permitted | null) => void }
 
+/** What became of a request within the time that a client may wait. `late` resolves to a response that comes after it. */
+type PermitOutcome = Permitted | { type: 'timedOut', late: Promise<Permitted | null> } | { type: 'lost' }
+
 /** What the counting VMs' responses told about a workspace. */
 interface WorkspaceState {
   /** Operations are refused without a request until then. */
@@ -48,9 +51,10 @@
  * Requests permits for operations from the VMs that count a workspace's limit: from the nearest first, then from the
  * others, whose shares may not be used up.
  *
- * While a workspace is well below its limit, its operations are admitted optimistically: at once, with a report to a
- * counting VM afterwards. Without a confirmation from a counting VM, the operations admitted in a window are limited to one more
- * than this VM's usual number. So slow links and lost counting VMs affect few clients, and the excess over the limit stays bounded.
+ * While a workspace is well below its limit, operations are admitted optimistically, at once and with a report to a counting VM
+ * afterwards, if a limit is so large that all VMs together may do so within the tolerated excess. Others wait for a response; if the
+ * counting VM does not respond in time, an operation is admitted without it, up to one more in a window than this VM's usual number.
+ * So slow links and lost counting VMs affect few clients, and while they respond the excess over the limit does not depend on the number of VMs.
  */
 export class PermitClient {
   readonly #options: PermitClientOptions
@@ -67,11 +71,11 @@
 
   /** Decides whether an operation of the workspace is admitted. If no counting VM responds, the verdict is a refusal with `isUncounted`. */
   async request (workspace: string): Promise<QuotaVerdict> {
-    const { clock } = this.#options
+    const { clock, quotas } = this.#options
     const nowMs = clock.readNow()
     const state = this.#findState(workspace)
     if (nowMs < state.refusedUntilMs) return { isAdmitted: false, retryAfterMs: Math.ceil(state.refusedUntilMs - nowMs) }
-    if (this.#canAdmitOptimistically(workspace, state, nowMs)) {
+    if (this.#canAdmitUncounted(workspace, state, quotas.computeUncountedPart(workspace))) {
       this.#admitOptimistically(workspace, state, nowMs)
       return { isAdmitted: true }
     }
@@ -95,11 +99,13 @@
     for (const request of this.#pending.values()) if (request.vm === vm) request.finish(null)
   }
 
-  #canAdmitOptimistically (workspace: string, state: WorkspaceState, nowMs: number): boolean {
-    const { windowMs, quotas } = this.#options
+  /** Whether the workspace is below its limit, and this VM has admitted fewer than `max` operations in the window that no counting VM is known to have counted. */
+  #canAdmitUncounted (workspace: string, state: WorkspaceState, max: number): boolean {
+    const { windowMs, quotas, clock } = this.#options
+    const nowMs = clock.readNow()
     while (nowMs - (state.uncountedTimesMs[0] ?? nowMs) >= windowMs) state.uncountedTimesMs.shift()
     const isBelowLimit = state.belowLimitUntilMs === null ? quotas.isReportedBelowLimit(workspace) : nowMs < state.belowLimitUntilMs
-    return isBelowLimit && state.uncountedTimesMs.length < 1 + state.usualCount
+    return isBelowLimit && state.uncountedTimesMs.length < Math.min(max, 1 + state.usualCount)
   }
 
   /** Reports an operation that is already admitted to a counting VM or, if that does not respond or does not count the limit, to the next one. */
@@ -108,18 +114,33 @@
     const reportToCountingVm = async (): Promise<void> => {
       for (const vm of this.#listTargets(workspace)) {
         const response = await this.#requestFrom(vm, { workspace, isRepeated: false, isAdmitted: true, waitMs: BACKGROUND_RESPONSE_TIMEOUT_MS })
-        if (response === null || response.result === 'notCounted') continue
-        this.#recordResponse(workspace, state, response)
-        const index = state.uncountedTimesMs.indexOf(nowMs)
-        if (index >= 0) state.uncountedTimesMs.splice(index, 1)
+        if (response.type !== 'permitted' || response.result === 'notCounted') continue
+        this.#recordCounted(workspace, state, response, nowMs)
         return
       }
     }
     reportToCountingVm().catch((error: unknown) => this.#options.logger.error('reporting an admitted operation failed', { workspace, error: String(error) }))
   }
 
+  /** Admits an operation for which a permit was requested in vain; a response may still come. */
+  #admitUnanswered (workspace: string, state: WorkspaceState, late?: Promise<Permitted | null>): void {
+    const nowMs = this.#options.clock.readNow()
+    state.uncountedTimesMs.push(nowMs)
+    late?.then(response => {
+      if (response?.result === 'admitted') this.#recordCounted(workspace, state, response, nowMs)
+    }, () => {})
+  }
+
+  /** Records that a counting VM has counted an operation that was admitted before. */
+  #recordCounted (workspace: string, state: WorkspaceState, response: Permitted, admittedAtMs: number): void {
+    this.#recordResponse(workspace, state, response)
+    const index = state.uncountedTimesMs.indexOf(admittedAtMs)
+    if (index >= 0) state.uncountedTimesMs.splice(index, 1)
+  }
+
   /**
-   * Requests a permit from one counting VM after the other until one admits the operation.
+   * Requests a permit from one counting VM after the other until one admits the operation. Of a workspace below its limit, an
+   * operation is admitted once one did not respond in time, as it may have counted it.
    *
    * @returns `'admitted'`, or for each VM that refused, the time in milliseconds after which it would admit an operation
    */
@@ -127,12 +148,18 @@
     const retryDelaysMs: number[] = []
     for (const vm of this.#listTargets(workspace)) {
       const response = await this.#requestFrom(vm, { workspace, isRepeated: retryDelaysMs.length > 0, isAdmitted: false, waitMs: RESPONSE_TIMEOUT_MS })
-      if (response === null || response.result === 'notCounted') continue
+      if (response.type === 'timedOut' && retryDelaysMs.length === 0 && this.#canAdmitUncounted(workspace, state, Infinity)) {
+        this.#admitUnanswered(workspace, state, response.late)
+        return 'admitted'
+      }
+      if (response.type !== 'permitted' || response.result === 'notCounted') continue
       this.#recordResponse(workspace, state, response)
       if (response.result === 'admitted') return 'admitted'
       retryDelaysMs.push(response.retryAfterMs ?? UNCOUNTED_RETRY_AFTER_MS)
     }
-    return retryDelaysMs
+    if (retryDelaysMs.length > 0 || !this.#canAdmitUncounted(workspace, state, Infinity)) return retryDelaysMs
+    this.#admitUnanswered(workspace, state)
+    return 'admitted'
   }
 
   /** Lists the counting VMs to send a request to, nearest first, without those that failed to respond lately. */
@@ -149,26 +176,33 @@
     state.usualCount += USUAL_COUNT_WEIGHT * ((sumDemand(this.#admittedWindow, nowMs).get(workspace) ?? 0) - state.usualCount)
   }
 
-  /** @returns `null` if the VM did not respond within `waitMs` or the link to it was lost */
-  async #requestFrom (vm: string, { workspace, isRepeated, isAdmitted, waitMs }: { workspace: string, isRepeated: boolean, isAdmitted: boolean, waitMs: number }): Promise<Permitted | null> {
-    const { quotas, send, logger, clock } = this.#options
-    const request = ++this.#sequence
-    const permit = { type: 'permit' as const, request, workspace, isRepeated, isAdmitted }
+  async #requestFrom (vm: string, { workspace, isRepeated, isAdmitted, waitMs }: { workspace: string, isRepeated: boolean, isAdmitted: boolean, waitMs: number }): Promise<PermitOutcome> {
+    const { quotas, logger, clock } = this.#options
+    const permit = { type: 'permit' as const, request: ++this.#sequence, workspace, isRepeated, isAdmitted }
     if (vm === quotas.vm) return quotas.decidePermit(permit)
-    const response = await new Promise<Permitted | null>(resolve => {
+    const late = this.#exchange(vm, permit)
+    const outcome = await new Promise<PermitOutcome>((resolve, reject) => {
+      const timer = setTimeout(() => resolve({ type: 'timedOut', late }), waitMs)
+      late.finally(() => clearTimeout(timer)).then(response => resolve(response ?? { type: 'lost' }), reject)
+    })
+    if (outcome.type === 'permitted') return outcome
+    this.#skippedUntilMs.set(vm, clock.readNow() + UNRESPONSIVE_BACKOFF_MS)
+    logger.info('counting VM did not respond', { vm, workspace, backoffMs: UNRESPONSIVE_BACKOFF_MS })
+    return outcome
+  }
+
+  /** Sends a request and waits for the response. @returns `null` if there was none in time, or the link was lost */
+  async #exchange (vm: string, permit: Permit): Promise<Permitted | null> {
+    return await new Promise(resolve => {
       const finish = (result: Permitted | null): void => {
         clearTimeout(timer)
-        this.#pending.delete(request)
+        this.#pending.delete(permit.request)
         resolve(result)
       }
-      const timer = setTimeout(() => finish(null), waitMs)
-      this.#pending.set(request, { vm, finish })
-      send(vm, permit)
+      const timer = setTimeout(() => finish(null), BACKGROUND_RESPONSE_TIMEOUT_MS)
+      this.#pending.set(permit.request, { vm, finish })
+      this.#options.send(vm, permit)
     })
-    if (response !== null) return response
-    this.#skippedUntilMs.set(vm, clock.readNow() + UNRESPONSIVE_BACKOFF_MS)
-    logger.info('counting VM did not respond', { vm, workspace, backoffMs: UNRESPONSIVE_BACKOFF_MS })
-    return null
   }
 
   #findState (workspace: string): WorkspaceState {
--- a/packages/gateway/src/limits/quota-counter.ts
+++ b/packages/gateway/src/limits/quota-counter.ts
@@ -9,6 +9,8 @@
 import { admitOperation, applyNearLimitBeforeStart, countOperation, createQuotaState, hasReserve, updateQuotas, type FleetDemand, type QuotaVerdict } from './quota.ts'
 
 const MS_PER_SECOND = 1_000
+/** Fraction of the tolerated excess that all VMs of a large fleet may admit before it is counted. The rest covers the counting VMs' headroom, and restarts. */
+const UNCOUNTED_FRACTION = 0.5
 
 export interface QuotaCounterOptions {
   settings: GatewaySettings
@@ -72,6 +74,19 @@
     return verdict.isAdmitted ? { type: 'permitted', request, result: 'admitted', isCalm } : { type: 'permitted', request, result: 'refused', retryAfterMs: verdict.retryAfterMs, isCalm }
   }
 
+  /**
+   * Computes how many operations of a workspace each VM of a large fleet may admit in a window before a counting VM has counted them, so
+   * that all VMs together stay within the tolerated excess. 0 if that is less than one each.
+   */
+  computeUncountedPart (workspace: string): number {
+    const { configuration, members } = this.#options
+    const { windowMs, overshoot, slack } = this.#state.tolerance
+    const contract = configuration.current?.workspaces.find(w => w.name === workspace)
+    if (contract?.ratePerSecond === undefined) return Infinity
+    const limitPerWindow = contract.ratePerSecond * windowMs / MS_PER_SECOND + (contract.burst ?? 0)
+    return Math.floor(UNCOUNTED_FRACTION * (limitPerWindow * overshoot + slack) / (members.members.size + 1))
+  }
+
   /** Lists this VM's demand by workspace for a report to another VM. */
   createDemandReport (vm: string): Array<[string, number]> {
     return [...createDemandReport(this.#demandShares, vm, this.#options.clock.readNow())]
