--- a/packages/gateway/src/failover/fence-group.ts
+++ b/packages/gateway/src/failover/fence-group.ts
@@ -9,8 +9,6 @@
 
 /** Time that the replicas have to receive the complete log of a primary that has stepped down. */
 const CATCH_UP_TIMEOUT_MS = 600
-/** Times that the leases are waited for again because a replica has lost its pause. */
-const MAX_LEASE_WAITS = 3
 
 /** Sets a term that no endpoint has seen yet, in case the primary's term is unknown because the primary has not responded so far. */
 export async function updateTerm (attempt: Attempt): Promise<void> {
@@ -113,46 +111,50 @@
   return { endpoint: entry.endpoint, received, isDraining: entry.isDraining, ageMs: hasLostLog ? 0 : Date.now() - entry.startedAtMs, isOldPrimary }
 }
 
-/**
- * Waits until the lease of the old primary has expired on VMs that did not confirm the revocation, and may still send it statements.
- * A replica that was resumed by a restart meanwhile may have given them the proof for another lease, so the wait begins again.
- */
+/** Waits until the lease of the old primary has expired on VMs that did not confirm the revocation, and may still send it statements. */
 export async function waitForLeases (attempt: Attempt, fenced: FencedGroup, fencedAtMs: number): Promise<FencedGroup> {
   const { host, group } = attempt
-  for (let waits = 1; waits <= MAX_LEASE_WAITS; waits++) {
-    const waitMs = fencedAtMs + LEADER_LEASE_MS - host.clock.readNow()
-    host.logger.info('waiting for leadership leases to expire', { service: group.service, waitMs: Math.round(waitMs) })
-    if (waitMs > 0) await waitFor(waitMs)
-    const verified = await verifyFence(attempt, fenced)
-    if (!verified.hasLostPause) return verified
-    fenced = verified
-    fencedAtMs = host.clock.readNow()
-  }
-  host.logger.warn('replicas have lost their pause again and again', { service: group.service, term: attempt.term })
-  return { endpoints: [], unfencedReplicas: attempt.replicas.length }
+  const waitMs = fencedAtMs + LEADER_LEASE_MS - host.clock.readNow()
+  host.logger.info('waiting for leadership leases to expire', { service: group.service, waitMs: Math.round(waitMs) })
+  if (waitMs > 0) await waitFor(waitMs)
+  return await verifyFence(attempt, fenced)
 }
 
 /**
  * Reads the positions of the fenced endpoints again after a wait. One that does not respond, or whose log has become shorter because it
- * has restarted without it, counts as unfenced; a replica that was resumed by a restart is paused again.
+ * has restarted without it, counts as unfenced. A replica that was not paused any more, or has joined, is paused; it counts as just
+ * started, since it may have received commits meanwhile and lost them.
  */
-async function verifyFence (attempt: Attempt, { endpoints, unfencedReplicas }: FencedGroup): Promise<FencedGroup & { hasLostPause: boolean }> {
-  const { host, group, replicas, oldPrimary, term } = attempt
+async function verifyFence (attempt: Attempt, { endpoints, unfencedReplicas }: FencedGroup): Promise<FencedGroup> {
+  const { host, group, oldPrimary, term } = attempt
   const isPlanned = attempt.reason === 'primary draining'
+  const joined = addJoinedReplicas(attempt)
   const pendingStatus = runOnAll(attempt, oldPrimary === undefined ? [] : [oldPrimary], async c => await c.readStatus())
-  const before = await runOnAll(attempt, replicas, async c => await c.readStatus())
+  const before = await runOnAll(attempt, attempt.replicas, async c => await c.readStatus())
   ensureNotReplaced(attempt, before)
-  const resumed = isPlanned ? [] : before.filter(({ entry, status }) => status.pausedForTerm < term && endpoints.some(f => f.endpoint === entry.endpoint))
+  const resumed = isPlanned ? [] : before.filter(({ status }) => status.pausedForTerm < term)
   const paused = await runOnAll(attempt, resumed.map(r => r.entry), async c => await pauseReplica(c, term))
   ensureNotReplaced(attempt, paused)
   const statuses = [...before.filter(b => !resumed.includes(b)), ...paused]
   const statusByEndpoint = new Map([...statuses, ...await pendingStatus].map(({ entry, status }) => [entry.endpoint, status]))
-  const verified = endpoints.flatMap(f => {
+  const resumedNames = new Set(resumed.map(r => r.entry.endpoint))
+  const candidates = [...endpoints, ...paused.filter(({ entry }) => joined.includes(entry)).map(({ entry, status }) => describeFenced(attempt, entry, status, false))]
+  const verified = candidates.flatMap(f => {
     const status = statusByEndpoint.get(f.endpoint)
     if (status === undefined || comparePositions(status.received, f.received) < 0) return []
-    return isPlanned || f.isOldPrimary || status.pausedForTerm >= term ? [{ ...f, received: status.received }] : []
+    const isFenced = isPlanned || f.isOldPrimary || status.pausedForTerm >= term
+    return isFenced ? [{ ...f, received: status.received, ageMs: resumedNames.has(f.endpoint) ? 0 : f.ageMs }] : []
   })
-  if (verified.length < endpoints.length || resumed.length > 0) host.logger.warn('fenced endpoints do not respond, or have lost their logs or their pause', { service: group.service, term, before: endpoints, resumed: resumed.map(r => r.entry.endpoint), after: Object.fromEntries(statusByEndpoint) })
-  const lostReplicas = endpoints.filter(f => !f.isOldPrimary).length - verified.filter(f => !f.isOldPrimary).length
-  return { endpoints: verified, unfencedReplicas: unfencedReplicas + lostReplicas, hasLostPause: resumed.length > 0 }
+  if (verified.length < endpoints.length || resumed.length > 0) host.logger.warn('fenced endpoints do not respond, or have lost their logs or their pause', { service: group.service, term, before: endpoints, joined: joined.map(e => e.endpoint), resumed: [...resumedNames], after: Object.fromEntries(statusByEndpoint) })
+  const countReplicas = (fenced: readonly FencedEndpoint[]): number => fenced.filter(f => !f.isOldPrimary).length
+  return { endpoints: verified, unfencedReplicas: unfencedReplicas + countReplicas(endpoints) + joined.length - countReplicas(verified) }
+}
+
+/** Counts replicas that have joined since the attempt began. @returns them */
+function addJoinedReplicas (attempt: Attempt): EndpointEntry[] {
+  const { group, replicas, oldPrimary } = attempt
+  const known = new Set([...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].map(e => e.endpoint))
+  const joined = [...group.pools.values()].map(p => p.entry).filter(e => !known.has(e.endpoint))
+  attempt.replicas = [...replicas, ...joined]
+  return joined
 }
