--- a/packages/gateway/src/testing/simulated-group.ts
+++ b/packages/gateway/src/testing/simulated-group.ts
@@ -215,7 +215,11 @@
       const status = found?.readStatus()
       if (toVmMs > 0) await this.#time.waitOutside(toVmMs)
       if (this.#process.frozenUntilMs > this.#time.readNow()) await this.#time.waitWhileFrozen(this.#process)
-      if (!isReached) throw new ConnectionLostError('endpoint does not respond')
+      if (!isReached) {
+        // Nothing listens at the address of an endpoint that has left.
+        const isRefused = found === undefined && !this.isStopped && !this.unreachable.has(endpoint)
+        throw new ConnectionLostError('endpoint does not respond', { props: { isRefused } })
+      }
       return status!
     }
     await run(() => {})
