--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -76,6 +76,8 @@
   it('loses no commit of a primary that an earlier attempt had step down, and promotes it if a replica has lost its log and the other was cut off', async () => {
     const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
     for (const vm of [vm1, vm2]) vm.addEndpoints()
+    vm2.commit()
+    await fleet.advance(50)
     fleet.group.find('b').isDeaf = true
     for (let i = 0; i < 5; i++) {
       vm1.commit()
