--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -33,6 +33,10 @@
    * before another endpoint is promoted, and that endpoint then holds its whole log.
    */
   completionEndsMs: number
+  /** Time at which this VM last verified the leadership by asking replicas, which proves more than a commit. */
+  verifiedAtMs: number
+  /** Time at which this VM last noticed that a replica has joined or started again; it may never have been paused, or have lost its pause. */
+  replicaStartNoticedAtMs: number
   /** Samples, the newest first. */
   samples: Sample[]
   /** Latest position known to be acknowledged. */
@@ -50,7 +54,7 @@
 
 /** @example createGroupState('orders') */
 export function createGroupState (service: string): GroupState {
-  return { service, primary: null, leadershipLeaseEndsMs: -Infinity, completionEndsMs: -Infinity, samples: [], acknowledged: null, acknowledgedAtMs: -Infinity, lastCommitSentAtMs: -Infinity, lastResponseAtMs: -Infinity, revokedUntilMs: -Infinity, isRevocationPlanned: false }
+  return { service, primary: null, leadershipLeaseEndsMs: -Infinity, completionEndsMs: -Infinity, verifiedAtMs: -Infinity, replicaStartNoticedAtMs: -Infinity, samples: [], acknowledged: null, acknowledgedAtMs: -Infinity, lastCommitSentAtMs: -Infinity, lastResponseAtMs: -Infinity, revokedUntilMs: -Infinity, isRevocationPlanned: false }
 }
 
 /**
@@ -91,17 +95,24 @@
   state.leadershipLeaseEndsMs = Math.max(state.leadershipLeaseEndsMs, atMs + LEADER_LEASE_MS)
 }
 
+/** Records that replicas proved that the primary led at `atMs`. */
+export function recordVerification (state: GroupState, endpoint: string, atMs: number): void {
+  state.verifiedAtMs = Math.max(state.verifiedAtMs, atMs)
+  recordLeadership(state, endpoint, atMs)
+}
+
 /**
  * Records an acknowledged commit. A replica has received it, which is impossible once a promotion has fenced the group, unless the
- * replica has restarted since and thereby lost its pause. So the commit proves that the endpoint led when it was sent only while an
- * earlier proof still holds: a promotion lets the lease that begins with that one expire.
+ * replica has restarted since and thereby lost its pause, or has joined since. So the commit proves that the endpoint led when it was sent
+ * only while an earlier proof still holds, as a promotion lets the lease that begins with that one expire, and only if the leadership
+ * was verified since the latest start of a replica.
  *
  * @param sentAtMs time at which the commit was sent to the endpoint
  * @param position position of the commit; `null` if the response did not tell it
  */
 export function recordCommit (state: GroupState, endpoint: string, sentAtMs: number, position: LogPosition | null, nowMs: number): void {
   if (state.primary?.endpoint !== endpoint) return
-  if (hasLeadershipLease(state, endpoint, nowMs)) recordLeadership(state, endpoint, sentAtMs)
+  if (hasLeadershipLease(state, endpoint, nowMs) && state.verifiedAtMs >= state.replicaStartNoticedAtMs) recordLeadership(state, endpoint, sentAtMs)
   state.acknowledgedAtMs = nowMs
   if (position === null) return
   recordAcknowledgedPosition(state, position)
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -131,6 +131,7 @@
     const { clock, connector, logger, readLimits, recordOpened } = this.#options
     const pool = this.pools.get(entry.endpoint)
     if (pool !== undefined && pool.entry.startedAtMs !== entry.startedAtMs) addDeparture(this.departures, pool.entry, clock.readNow())
+    if (pool?.entry.startedAtMs !== entry.startedAtMs) this.state.replicaStartNoticedAtMs = clock.readNow()
     removeDeparture(this.departures, entry)
     if (pool !== undefined && pool.entry.address === entry.address) pool.updateEntry(entry)
     else {
