--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -12,6 +12,8 @@
  * does not tell yet. After this time the pause counts as left over from a promotion that has ended.
  */
 const STALE_PAUSE_MS = 10_000
+/** What a verification has found tells nothing of the present after this time. */
+const SEEN_PAUSE_VALID_MS = 1_000
 /** Time for the other replicas to tell that they are paused, after one has proved that it is not. */
 const PAUSE_CHECK_MS = 100
 /** Shortest time between two queries of the same kind to a group. */
@@ -34,8 +36,8 @@
   readonly #options: LeadershipVerifierOptions
   readonly #running = new Map<string, Promise<void>>()
   readonly #queriedAtMs = new Map<string, number>()
-  /** Time at which a replica of a group was first seen paused, by service, unless none has been since. */
-  readonly #pauseSeenAtMs = new Map<string, number>()
+  /** When a replica of a group was first and last seen paused, by service, unless none has been since. */
+  readonly #seenPauses = new Map<string, { firstAtMs: number, lastAtMs: number }>()
 
   constructor (options: LeadershipVerifierOptions) {
     this.#options = options
@@ -100,13 +102,20 @@
   /** Whether a replica has been paused so recently that a promotion may be in progress. */
   #isPauseRecent ({ service }: ServiceGroup, isPauseSeen: boolean): boolean {
     if (!isPauseSeen) {
-      this.#pauseSeenAtMs.delete(service)
+      this.#seenPauses.delete(service)
       return false
     }
     const nowMs = this.#options.clock.readNow()
-    const seenAtMs = this.#pauseSeenAtMs.get(service) ?? nowMs
-    this.#pauseSeenAtMs.set(service, seenAtMs)
-    return nowMs - seenAtMs < STALE_PAUSE_MS
+    const { firstAtMs } = this.#seenPauses.get(service) ?? { firstAtMs: nowMs }
+    this.#seenPauses.set(service, { firstAtMs, lastAtMs: nowMs })
+    return nowMs - firstAtMs < STALE_PAUSE_MS
+  }
+
+  /** Measures for how long replicas of a group have been found paused, in milliseconds; 0 if the latest verification found none, or was long ago. */
+  measurePausedMs ({ service }: ServiceGroup): number {
+    const seen = this.#seenPauses.get(service)
+    const isCurrent = seen !== undefined && this.#options.clock.readNow() - seen.lastAtMs < SEEN_PAUSE_VALID_MS
+    return isCurrent ? seen.lastAtMs - seen.firstAtMs : 0
   }
 
   async #findStatus (entry: EndpointEntry): ReturnType<ControlConnections['run']> {
