--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -4,7 +4,7 @@
 import type { ClientListener } from './clients/client-listener.ts'
 import { ElapsedClock } from './clock/elapsed-clock.ts'
 import { ConfigurationHolder } from './configuration/configuration-holder.ts'
-import { applyChanges, applyListing, createDirectory, recordStoreRecovery, removeExpiredLapsedEntries, type DirectoryState } from './directory/directory.ts'
+import { applyChanges, applyHeldBackEntries, applyListing, createDirectory, recordOlderCopy, recordStoreRecovery, removeExpiredLapsedEntries, type DirectoryState } from './directory/directory.ts'
 import { drainSessions, finishSessions } from './drain/drain.ts'
 import { runStopSteps } from './drain/stop-steps.ts'
 import { ControlConnections } from './failover/control-connections.ts'
@@ -22,6 +22,7 @@
 import { QuotaRecord } from './limits/quota-record.ts'
 import { QuotaCounter } from './limits/quota-counter.ts'
 import type { MetadataStore } from './metadata/metadata-store.ts'
+import { reportEpochs } from './metadata/report-epochs.ts'
 import { watchKind } from './metadata/watch-kind.ts'
 import { ClientSession } from './sessions/client-session.ts'
 import { GatewaySessionHost } from './sessions/gateway-session-host.ts'
@@ -99,7 +100,7 @@
   failover.start()
   const watches = startWatches(components)
   const maintenanceTimer = setInterval(() => {
-    groups.applyChanges(removeExpiredLapsedEntries(directory, clock.readNow()))
+    groups.applyChanges([...removeExpiredLapsedEntries(directory, clock.readNow()), ...applyHeldBackEntries(directory, clock.readNow())])
     for (const group of groups.list()) for (const pool of group.pools.values()) pool.runPlan()
   }, MAINTENANCE_INTERVAL_MS)
   const sessions = new Set<ClientSession>()
@@ -161,7 +162,7 @@
   const claims: DutyClaims = new DutyClaims({ store, clock, logger, vm: settings.vm, incarnation, confirmNoClaims: async (service, epoch) => await claimInquiries.confirmNoClaims(service, epoch) })
   const host = { clock, logger, vm: settings.vm, control: controlConnections, claims, promoter, ...fleetMessageHandler.createPromotionCallbacks() }
   const recordResult = (service: string, result: string): void => metrics.promotions.inc({ service, result })
-  const failover = new FailoverWatch({ clock, logger, members, host, listGroups: () => groups.list(), poll: () => fleet.poll(), recordResult })
+  const failover = new FailoverWatch({ clock, logger, members, host, listGroups: () => groups.list(), measurePausedMs: group => leadershipVerifier.measurePausedMs(group), poll: () => fleet.poll(), recordResult })
   const permits = new PermitClient({ clock, logger, windowMs: settings.quota.windowS * MS_PER_SECOND, counting, quotas, send: (vm, message) => fleet.send(vm, message) })
   network.subscribeLinkLoss(vm => permits.handleLinkLoss(vm))
   fleetMessageHandler.connect(fleet, failover, permits, claimInquiries)
@@ -176,10 +177,10 @@
 
 function startWatches ({ adapters: { store }, logger, clock, metrics, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
   const handleStoreRecovery = (): void => recordStoreRecovery(directory, clock.readNow())
-  store.epochs.subscribe(change => {
-    logger.warn('metadata store returned from an older copy', { ...change, configurationVersion: configuration.version })
+  reportEpochs({ store, logger, describeState: () => ({ configurationVersion: configuration.version }) })
+  store.epochs.subscribe(() => {
     metrics.storeEpochChanges.inc()
-    handleStoreRecovery()
+    recordOlderCopy(directory, clock.readNow())
   })
   const endpointsWatch = watchKind({
     store,
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -2,8 +2,8 @@
 import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
 import type { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import type { FailoverWatch } from '../failover/failover-watch.ts'
-import type { PromotionHost, Revocation } from '../failover/run-promotion.ts'
-import { isLeadershipRevoked, recordLeadership, restoreLeadership, revokeLeadership } from '../freshness/group-state.ts'
+import type { PromotionHost, Revocation } from '../failover/promotion-attempt.ts'
+import { isLeadershipRevoked, recordLeadership, restoreLeadership } from '../freshness/group-state.ts'
 import { listUncovered, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
@@ -72,6 +72,7 @@
         else this.#handleMessage(vm, message)
       },
       removeVm: vm => {
+        this.#losses.lastLossAtMs = this.#options.clock.readNow()
         quotas.removeVm(vm)
         for (const group of groups.list()) group.peers.delete(vm)
       },
@@ -114,6 +115,7 @@
 
   #applyReport (vm: string, report: Report, pollSentAtMs: number): void {
     const { configuration, groups, quotas, clock, logger } = this.#options
+    configuration.recordReportedVersion(report.configurationVersion)
     if (applyReportedVersion(this.#configurationFetch, report.configurationVersion, configuration.version, clock.readNow())) {
       logger.info('configuration requested from another vm', { vm, version: report.configurationVersion, localVersion: configuration.version })
       this.#fleet?.send(vm, { type: 'configurationWanted' })
@@ -165,7 +167,7 @@
   }
 
   async #revokeLocalLeadership (group: ServiceGroup, endpoint: string, term: number, isPlanned: boolean): Promise<void> {
-    revokeLeadership(group.state, endpoint, term, this.#options.clock.readNow())
+    group.revokeLeadership(endpoint, term, isPlanned)
     if (isPlanned) await group.waitUntil(() => group.writesInFlight === 0, WRITE_COMPLETION_TIMEOUT_MS)
   }
 
