--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -32,7 +32,7 @@
       return null
     }
     if (!await isStillSafe(attempt, entry, received, fenced)) {
-      host.logger.warn('promotion order not sent, an endpoint has lost its log or its pause since it was compared', { service: group.service, openOrder: attempt.openOrder, ...openOrder })
+      host.logger.warn('promotion order not sent, an endpoint has lost its log or its pause, or has joined, since they were compared', { service: group.service, openOrder: attempt.openOrder, ...openOrder })
       return null
     }
     if (!host.claims.isUsable(attempt.claim)) continue // The checks took too long, or this VM stood still.
@@ -50,12 +50,14 @@
 }
 
 /**
- * Checks right before an order is sent that its endpoint has not lost its log, and that no other replica has lost its pause, since
- * they were compared.
+ * Checks right before an order is sent that its endpoint has not lost its log, no other replica has lost its pause, and none has joined,
+ * since they were compared.
  */
 async function isStillSafe (attempt: Attempt, { endpoint }: EndpointEntry, received: LogPosition, fenced: readonly FencedEndpoint[]): Promise<boolean> {
-  const { group, term, reason } = attempt
-  const statuses = await runOnAll(attempt, [...group.pools.values()].map(p => p.entry), async c => await c.readStatus())
+  const { group, term, reason, replicas, oldPrimary } = attempt
+  const entries = [...group.pools.values()].map(p => p.entry)
+  if (entries.some(e => e.endpoint !== oldPrimary?.endpoint && !replicas.some(r => r.endpoint === e.endpoint))) return false
+  const statuses = await runOnAll(attempt, entries, async c => await c.readStatus())
   ensureNotReplaced(attempt, statuses)
   const ordered = statuses.find(({ entry }) => entry.endpoint === endpoint)
   if (ordered === undefined || comparePositions(ordered.status.received, received) < 0) return false
