Compare an open promotion order with the primary that it replaces, and prove it anew after a return of the store

An attempt whose fence was at a later term than the platform's next one did not recognise the endpoint that it had ordered, and kept the order open; once that endpoint was lost nothing was promoted. The record now names the term of the primary to be replaced instead of the fence's.

An order read from an older copy of the store may have been cleared since: `a lacks 25 commits, 1.6 to 1.30`. It is now only preferred among equally advanced endpoints, and its choice has to be proven like any other.

--- a/packages/gateway/src/failover/check-leadership.ts
+++ b/packages/gateway/src/failover/check-leadership.ts
@@ -42,7 +42,7 @@
   return status.term >= term && status.term > status.pausedForTerm
 }
 
-/** Closes an order that has taken effect: an endpoint leads, or has led, at the term that it was to begin, or at a later one. */
+/** Closes an order that has taken effect: an endpoint leads, or has led, at a later term than the primary that it replaces. */
 function closeOrder (attempt: Attempt, term: number): void {
-  if (attempt.openOrder !== null && term >= attempt.openOrder.term) attempt.openOrder = null
+  if (attempt.openOrder !== null && term > attempt.openOrder.replacedTerm) attempt.openOrder = null
 }
--- a/packages/gateway/src/failover/decide-promotion.ts
+++ b/packages/gateway/src/failover/decide-promotion.ts
@@ -97,6 +97,8 @@
   acknowledged: LogPosition | null
   /** Whether every VM that may be running has reported the latest acknowledged position it knows. */
   hasEveryVmConfirmed: boolean
+  /** Endpoint to pick among equally advanced ones, as an earlier order for it may still take effect. */
+  preferred?: string
   /** Whether that covers the positions of VMs that have stopped or restarted. */
   hasEveryAcknowledgement?: boolean
 }
@@ -120,8 +122,8 @@
   if (latest === null || (acknowledged !== null && comparePositions(latest, acknowledged) < 0)) return undefined
   if (!hasEveryCommit(options, latest) && !hasKnownCommits(options, latest)) return undefined
   const mostAdvanced = fenced.filter(f => comparePositions(f.received, latest) === 0)
-  const preferred = mostAdvanced.filter(f => !f.isDraining && !f.isOldPrimary)
-  return preferred[0] ?? mostAdvanced.find(f => !f.isDraining) ?? mostAdvanced[0]
+  const staying = mostAdvanced.filter(f => !f.isDraining && !f.isOldPrimary)
+  return mostAdvanced.find(f => f.endpoint === options.preferred) ?? staying[0] ?? mostAdvanced.find(f => !f.isDraining) ?? mostAdvanced[0]
 }
 
 /** Whether a log up to `latest` holds every acknowledged commit because no other log can hold more. */
--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -17,10 +17,12 @@
   endpoint: z.string(),
   /** Start of the endpoint; once it has started again, the order no longer takes effect. */
   startedAtMs: z.number(),
-  /** Term at which the group was fenced when the endpoint was chosen. */
-  term: z.number(),
+  /** Term of the primary that it replaces; the order has taken effect once an endpoint leads at a later term. */
+  replacedTerm: z.number(),
   /** End of the endpoint's log then; a shorter log shows that it has started again. */
-  received: z.object({ term: z.number(), index: z.number() })
+  received: z.object({ term: z.number(), index: z.number() }),
+  /** Whether the choice of the endpoint still stands: the record was not read from an older copy of the store, after which it may have been cleared. */
+  isProven: z.boolean().default(true)
 })
 
 const claimSchema = z.object({
@@ -28,7 +30,7 @@
   incarnation: z.number(),
   /** Epoch of the store in which the claim was written, as far as its holder knew. */
   epoch: z.number().default(0),
-  order: orderSchema.nullable().default(null)
+  order: orderSchema.nullable().default(null).catch(null)
 })
 
 /** A promotion order that may have been sent and may still take effect. */
@@ -99,7 +101,7 @@
    */
   async claim (service: string): Promise<Claim | null> {
     const current = await this.#options.store.find('duties', formatObjectName(service))
-    return this.#isFree(service, current) || await this.#confirmUnclaimed(service, current) ? await this.#write(service, current, readOrder(current)) : null
+    return this.#isFree(service, current) || await this.#confirmUnclaimed(service, current) ? await this.#write(service, current, this.#readOrder(current)) : null
   }
 
   /**
@@ -107,7 +109,7 @@
    *
    * @returns the claim to use, with a new fencing token; `null` if the claim is no longer usable
    * @throws MetadataError if the store did not respond; the order may have been recorded
-   * @example claim = await claims.recordOrder(claim, { endpoint: 'orders-2', startedAtMs: 1700000000000, term: 7, received: { term: 6, index: 120 } })
+   * @example claim = await claims.recordOrder(claim, { endpoint: 'orders-2', startedAtMs: 1700000000000, replacedTerm: 6, isProven: true, received: { term: 6, index: 120 } })
    */
   async recordOrder (claim: Claim, order: OpenOrder): Promise<Claim | null> {
     return this.isUsable(claim) ? await this.#write(claim.service, claim, order) : null
@@ -208,6 +210,12 @@
     return nowMs - sinceMs >= CLAIM_TAKEOVER_MS
   }
 
+  #readOrder (current: StoredObject<unknown> | undefined): OpenOrder | null {
+    const claim = claimSchema.safeParse(current?.value)
+    if (current === undefined || !claim.success || claim.data.order === null) return null
+    return this.#isOfCurrentEpoch(current) ? claim.data.order : { ...claim.data.order, isProven: false }
+  }
+
   /** Whether the object was written in the store's epoch, by a VM that knew the epoch. */
   #isOfCurrentEpoch ({ revision, value }: StoredObject<unknown>): boolean {
     const { current } = this.#options.store.epochs
@@ -239,11 +247,6 @@
   return token
 }
 
-function readOrder (current: StoredObject<unknown> | undefined): OpenOrder | null {
-  const claim = claimSchema.safeParse(current?.value)
-  return claim.success ? claim.data.order : null
-}
-
 function formatObjectName (service: string): string {
   return `${OBJECT_NAME_PREFIX}${service}`
 }
--- a/packages/gateway/src/failover/fence-group.ts
+++ b/packages/gateway/src/failover/fence-group.ts
@@ -15,6 +15,7 @@
   if (attempt.term > 1) return
   const { oldPrimary, replicas } = attempt
   const statuses = await runOnAll(attempt, oldPrimary === undefined ? replicas : [...replicas, oldPrimary], async c => await c.readStatus())
+  attempt.replacedTerm = Math.max(0, ...statuses.map(({ status }) => status.term))
   attempt.term = Math.max(1, ...statuses.map(({ status }) => Math.max(status.term, status.pausedForTerm) + 1))
   ensureNotReplaced(attempt, statuses)
   if (statuses.some(({ entry, status }) => entry === oldPrimary && status.role === 'replica')) addOldPrimaryToReplicas(attempt)
--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -25,7 +25,7 @@
   const { host, group, replicas, oldPrimary } = attempt
   const entry = [...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].find(e => e.endpoint === endpoint)
   if (entry === undefined) return null
-  const openOrder = { endpoint, startedAtMs: entry.startedAtMs, term: attempt.term, received }
+  const openOrder = { endpoint, startedAtMs: entry.startedAtMs, replacedTerm: attempt.replacedTerm, received, isProven: true }
   for (let calls = 1; calls <= MAX_ORDER_CALLS; calls++) {
     if (!await recordOrder(attempt, openOrder)) {
       host.logger.warn('promotion cancelled, the failover claim has expired', { service: group.service, openOrder: attempt.openOrder })
@@ -82,7 +82,7 @@
 }
 
 function isSameOrder (a: OpenOrder | null, b: OpenOrder | null): boolean {
-  return a?.endpoint === b?.endpoint && a?.startedAtMs === b?.startedAtMs && a?.term === b?.term
+  return a?.endpoint === b?.endpoint && a?.startedAtMs === b?.startedAtMs && a?.replacedTerm === b?.replacedTerm && a?.isProven === b?.isProven
 }
 
 /**
@@ -104,7 +104,7 @@
     if (isHeld === false || !isSameOrder(attempt.claim.order, openOrder)) throw new Error('another VM has claimed the duty while the promotion order had not taken effect')
     const sentAtMs = host.clock.readNow()
     const [known] = await runOnAll(attempt, [entry], async c => await c.readStatus())
-    if (known?.status.role === 'primary' && known.status.term >= attempt.term) {
+    if (known?.status.role === 'primary' && known.status.term > attempt.replacedTerm) {
       host.logger.warn('promotion took effect', { service: group.service, endpoint, term: known.status.term, received: known.status.received, orderAgeMs: Math.round(host.clock.readNow() - requestedAtMs) })
       attempt.term = known.status.term
       attempt.leadershipVerifiedAtMs = sentAtMs
--- a/packages/gateway/src/failover/promotion-attempt.ts
+++ b/packages/gateway/src/failover/promotion-attempt.ts
@@ -61,6 +61,8 @@
   knownPrimary: KnownPrimary | null
   /** Term at which the endpoints are fenced; once the new primary is known, its term. */
   term: number
+  /** Term of the old primary; 0 while it is not known. */
+  replacedTerm: number
   oldPrimary: EndpointEntry | undefined
   /** The endpoint that was taken for the old primary and has turned out to be a replica; it is among `replicas`. */
   formerPrimary?: EndpointEntry
--- a/packages/gateway/src/failover/promotion-orders-in-drills.test.ts
+++ b/packages/gateway/src/failover/promotion-orders-in-drills.test.ts
@@ -31,7 +31,7 @@
     fleet.exchangeReports()
     const { startedAtMs, received } = fleet.group.find('a')
     const claim = { holder: null, incarnation: 1, epoch: 0 }
-    fleet.store.replace('duties', 'failover-s', { ...claim, order: { endpoint: 'a', startedAtMs, term: 2, received } })
+    fleet.store.replace('duties', 'failover-s', { ...claim, order: { endpoint: 'a', startedAtMs, replacedTerm: 1, received } })
     const copy = fleet.store.createCopy()
     fleet.store.replace('duties', 'failover-s', { ...claim, order: null })
     fleet.group.find('a').isDeaf = true
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -53,14 +53,15 @@
   const knownPrimary = group.state.primary === null ? null : { ...group.state.primary }
   const oldPrimary = entries.find(e => e.endpoint === knownPrimary?.endpoint)
   const knownTerm = knownPrimary?.term ?? 0
-  const openOrder = claim.order !== null && claim.order.term > knownTerm ? claim.order : null
+  const openOrder = claim.order !== null && claim.order.replacedTerm >= knownTerm ? claim.order : null
   return {
     host,
     group,
     reason,
     claim,
     knownPrimary,
-    term: Math.max(knownTerm + 1, openOrder?.term ?? 0),
+    term: knownTerm + 1,
+    replacedTerm: knownTerm,
     oldPrimary,
     replicas: entries.filter(e => e !== oldPrimary),
     departures: new Map(),
@@ -103,12 +104,13 @@
   const { departures } = fencedDepartures
   const unfencedReplicas = fenced.unfencedReplicas + unknownReplicas.length + fencedDepartures.unfencedReplicas
   const ordered = findOrdered(attempt, fenced, revocation)
-  let candidate = ordered ?? pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas, departures })
+  const preferred = attempt.openOrder?.endpoint
+  let candidate = ordered ?? pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas, departures, preferred })
   const withFormerPrimary = candidate === undefined ? await fenceFormerPrimary(attempt, fenced) : undefined
   if (withFormerPrimary !== undefined) {
     const addedUnfenced = withFormerPrimary.unfencedReplicas - fenced.unfencedReplicas
     fenced = withFormerPrimary
-    candidate = pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas: unfencedReplicas + addedUnfenced, departures })
+    candidate = pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas: unfencedReplicas + addedUnfenced, departures, preferred })
   }
   host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: fenced.endpoints, unfencedReplicas, unknownReplicas, departures, acknowledged: revocation.acknowledged, openOrder: attempt.openOrder, hasEveryVmConfirmed: revocation.hasEveryVmConfirmed, hasEveryAcknowledgement: revocation.hasEveryAcknowledgement })
   if (candidate === undefined) return null
@@ -124,7 +126,7 @@
  */
 function findOrdered (attempt: Attempt, fenced: FencedGroup, { acknowledged }: Revocation): FencedEndpoint | undefined {
   const { host, group, openOrder } = attempt
-  if (openOrder === null) return undefined
+  if (openOrder === null || !openOrder.isProven) return undefined
   const ordered = fenced.endpoints.find(f => f.endpoint === openOrder.endpoint)
   const isSameStart = group.pools.get(openOrder.endpoint)?.entry.startedAtMs === openOrder.startedAtMs
   if (isSameStart && ordered === undefined) throw new Error(`${openOrder.endpoint} does not respond and may be promoted at any time by an earlier order`)
