Ask the primary for the end of its log after a replica has left

Callers got no new primary although both replicas were reachable: after a replica was replaced on a service that got no statements, no VM knew the end of the primary's log since the departure, and once the primary had died and a VM had restarted, nothing could show that the others held all commits.

One second after a departure, and again if another endpoint leads, the three VMs of the lowest ranks request the primary's status if no statement's response has told the end of the log, at most five times, and try the departed endpoint's address once to learn whether it is gone. That costs at most three status requests for a departure on an idle service while the primary responds, none to the primary on a busy one, and three connections to the departed endpoint.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -10,6 +10,7 @@
 import { ControlConnections } from './failover/control-connections.ts'
 import { ClaimInquiries } from './failover/claim-inquiries.ts'
 import { DutyClaims } from './failover/duty-claim.ts'
+import { DepartureInquiries } from './failover/departure-inquiries.ts'
 import { FailoverWatch } from './failover/failover-watch.ts'
 import { LeadershipVerifier } from './failover/verify-leadership.ts'
 import { Fleet } from './fleet/fleet.ts'
@@ -148,10 +149,11 @@
   const members = createMemberState(self)
   const controlConnections = new ControlConnections(connector)
   const leadershipVerifier = new LeadershipVerifier({ clock, logger, control: controlConnections })
+  const departureInquiries = new DepartureInquiries({ clock, logger, control: controlConnections, members })
   const directory = createDirectory()
   const recordOpened = (service: string): void => metrics.connectionsOpened.inc({ service })
   const checkRole: GroupTableOptions['checkRole'] = (group, entry) => { leadershipVerifier.checkRole(group, entry).catch((error: unknown) => logger.error('endpoint role check failed', { error: String(error) })) }
-  const groups = new GroupTable({ connector, clock, logger, configuration, members, recordOpened, checkRole, handleDeparture: () => {} })
+  const groups = new GroupTable({ connector, clock, logger, configuration, members, recordOpened, checkRole, handleDeparture: group => departureInquiries.schedule(group) })
   const counting = new CountingVms(members)
   const quotas = new QuotaCounter({ settings, clock, configuration, members, counting })
   const quotaRecord = new QuotaRecord({ store, clock, logger, members, quotas })
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -4,6 +4,7 @@
 import type { PromotionReason } from '../failover/decide-promotion.ts'
 import { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import { ControlConnections } from '../failover/control-connections.ts'
+import { DepartureInquiries } from '../failover/departure-inquiries.ts'
 import { DutyClaims } from '../failover/duty-claim.ts'
 import type { PromotionHost } from '../failover/promotion-attempt.ts'
 import { runPromotion } from '../failover/run-promotion.ts'
@@ -102,13 +103,15 @@
     this.members = createMemberState({ vm: name, host: '127.0.0.1', port: 1, failureDomain: 'north', region: 'r', incarnation: Date.now() })
     this.members.hasMemberList = true
     this.connector = new SimulatedConnector(fleet.group)
-    this.group = new ServiceGroup({ service: 's', connector: new IdleConnector(), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: 0 }), recordOpened: () => {} })
+    const control = new ControlConnections(this.connector)
+    const departureInquiries = new DepartureInquiries({ clock: time, logger: logger.child({ vm: name }), control, members: this.members })
+    this.group = new ServiceGroup({ service: 's', handleDeparture: group => departureInquiries.schedule(group), connector: new IdleConnector(), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: 0 }), recordOpened: () => {} })
     this.#store = new SimulatedStore(fleet.store.state, () => this.isRunning && this.isStoreReachable)
     const inquiries: ClaimInquiries = new ClaimInquiries({ store: this.#store, clock: time, members: this.members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => this.#send(vm, message) })
     const claims: DutyClaims = new DutyClaims({ store: this.#store, clock: time, logger, vm: name, incarnation: this.members.self.incarnation, confirmNoClaims: async (service, epoch) => await inquiries.confirmNoClaims(service, epoch) })
     this.#handler = this.#createHandler(inquiries)
     const promoter = new SimulatedPromoter(fleet, this)
-    this.#host = { clock: time, logger: logger.child({ vm: name }), vm: name, control: new ControlConnections(this.connector), claims, promoter, ...this.#handler.createPromotionCallbacks() }
+    this.#host = { clock: time, logger: logger.child({ vm: name }), vm: name, control, claims, promoter, ...this.#handler.createPromotionCallbacks() }
   }
 
   /** Registers endpoints in this VM's view; all of the group by default. */
