--- a/packages/gateway/src/failover/departure-inquiries.test.ts
+++ b/packages/gateway/src/failover/departure-inquiries.test.ts
@@ -37,6 +37,7 @@
 
   it('is inquired about again if the primary does not respond, and after it was replaced', async () => {
     const [vm] = startVms(1)
+    await fleet.advance(200)
     vm!.connector.unreachable.add('p')
     await leave([vm!], 'a')
     await fleet.advance(1_500)
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -1,27 +1,40 @@
 import { createSeededRandom, type Logger } from '@camphorpitch/wire'
-import { EndpointConnector } from '../backend/endpoint-connector.ts'
+import { EndpointConnector, type EndpointConnection, type EndpointResponse } from '../backend/endpoint-connector.ts'
+import { ConnectionLostError } from '../backend/errors.ts'
 import { Promoter, type PromotionOrder, type PromotionResult } from '../backend/promoter.ts'
+import { ConfigurationHolder } from '../configuration/configuration-holder.ts'
+import type { Route } from '../configuration/configuration.ts'
 import type { PromotionReason } from '../failover/decide-promotion.ts'
 import { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import { ControlConnections } from '../failover/control-connections.ts'
 import { DepartureInquiries } from '../failover/departure-inquiries.ts'
 import { DutyClaims } from '../failover/duty-claim.ts'
+import { FailoverWatch } from '../failover/failover-watch.ts'
 import type { PromotionHost } from '../failover/promotion-attempt.ts'
 import { runPromotion } from '../failover/run-promotion.ts'
+import { LeadershipVerifier } from '../failover/verify-leadership.ts'
 import { FleetMessageHandler, type FleetMessageHandlerOptions } from '../fleet/fleet-message-handler.ts'
 import { addMember, createMemberState, recordLeft, recordPoll, recordReport, type MemberState } from '../fleet/members.ts'
 import type { FleetMessage } from '../fleet/message-schemas.ts'
-import { isLeadershipRevoked } from '../freshness/group-state.ts'
 import { ServiceGroup } from '../groups/service-group.ts'
 import { MetadataError } from '../metadata/errors.ts'
+import type { StoredObject, WritableKind } from '../metadata/metadata-store.ts'
 import type { Revision } from '../metadata/revision.ts'
-import { createTraceLogger } from './event-trace.ts'
+import { waitAtMost } from '../runtime/wait-at-most.ts'
+import type { Operation, Outcome } from '../statements/operation.ts'
+import { runWrite } from '../statements/run-write.ts'
+import type { StatementContext } from '../statements/statement-context.ts'
+import { createTraceLogger, printEvent } from './event-trace.ts'
 import { MemoryStore, type MemoryStoreState } from './memory-store.ts'
 import { SimulatedConnector, SimulatedGroup } from './simulated-group.ts'
-import { VirtualTime } from './virtual-time.ts'
+import type { SimulatedPlatform } from './simulated-platform.ts'
+import { VirtualTime, type SimulatedProcess } from './virtual-time.ts'
 
 const MESSAGE_DELAY_MS = 3
+const MAX_OPEN_CONNECTIONS = 1_000
 const STATEMENT_TIMEOUT_MS = 2_000
+const ROUTE: Route = { name: 'r', database: 'd', service: 's', consistency: 'primary', statementTimeoutMs: STATEMENT_TIMEOUT_MS, objectiveMs: 400, priority: 1, maxStalenessMs: 0, isPublic: false }
+const STORE_TIMEOUT_MS = 1_000
 
 /** VMs with their own views of a simulated group, which run the product's promotions. */
 export class SimulatedFleet {
@@ -32,12 +45,15 @@
   /** Descriptions of promotion orders whose fencing token is lower than an earlier one, or that of another VM. */
   readonly brokenOrders: string[] = []
   #latestOrder: PromotionOrder | undefined
+  /** Executes the orders, if set; otherwise each takes effect after its VM's `promotionDelayMs`. */
+  platform: SimulatedPlatform | undefined
   readonly random: () => number
   readonly logger: Logger
 
   constructor (endpoints: readonly string[], seed = 1) {
     this.time.start()
-    this.group = new SimulatedGroup(endpoints)
+    this.group = new SimulatedGroup(endpoints, this.time)
+    this.group.print = event => printEvent(this.time, 'group', event)
     this.random = createSeededRandom(seed)
     this.logger = createTraceLogger(this.time)
   }
@@ -84,33 +100,46 @@
   readonly unreachableVms = new Set<string>()
   readonly orders: PromotionOrder[] = []
   isRunning = true
+  /** Time at which this VM last learned of another primary from the VM that promoted it. */
+  primaryChangedAtMs = -Infinity
   /** Whether promotion orders of this VM are dropped on the way. */
   losesOrders = false
   /** Whether the answers to promotion orders of this VM are dropped on the way. */
   losesAnswers = false
   isStoreReachable = true
+  readonly process: SimulatedProcess
+  /** Times of a store call of this VM. */
+  drawStoreDelays: () => StoreDelays = () => [0, 0]
   /** Time from an order of this VM to its effect. */
   promotionDelayMs = 400
+  /** What the product's code for statements needs of this VM. */
+  readonly context: StatementContext
+  #writeCount = 0
   readonly #fleet: SimulatedFleet
   readonly #host: PromotionHost
   readonly #handler: FleetMessageHandler
   readonly #store: MemoryStore
+  readonly #verifier: LeadershipVerifier
+  #watch: FailoverWatch | undefined
 
   constructor (fleet: SimulatedFleet, name: string) {
     const { time, logger } = fleet
     this.name = name
+    this.process = { name, frozenUntilMs: -Infinity }
     this.#fleet = fleet
     this.members = createMemberState({ vm: name, host: '127.0.0.1', port: 1, failureDomain: 'north', region: 'r', incarnation: Date.now() })
     this.members.hasMemberList = true
-    this.connector = new SimulatedConnector(fleet.group)
+    this.connector = new SimulatedConnector(fleet.group, time, this.process)
     const control = new ControlConnections(this.connector)
     const departureInquiries = new DepartureInquiries({ clock: time, logger: logger.child({ vm: name }), control, members: this.members })
-    this.group = new ServiceGroup({ service: 's', handleDeparture: group => departureInquiries.schedule(group), connector: new IdleConnector(), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: 0 }), recordOpened: () => {} })
-    this.#store = new SimulatedStore(fleet.store.state, () => this.isRunning && this.isStoreReachable)
+    this.group = new ServiceGroup({ service: 's', handleDeparture: group => departureInquiries.schedule(group), connector: new SimulatedStatementConnector(fleet.group, this), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: MAX_OPEN_CONNECTIONS }), recordOpened: () => {} })
+    this.#store = new SimulatedStore(fleet.store.state, { canReach: () => this.isRunning && this.isStoreReachable, drawDelays: () => this.drawStoreDelays(), time, process: this.process })
     const inquiries: ClaimInquiries = new ClaimInquiries({ store: this.#store, clock: time, members: this.members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => this.#send(vm, message) })
     const claims: DutyClaims = new DutyClaims({ store: this.#store, clock: time, logger, vm: name, incarnation: this.members.self.incarnation, confirmNoClaims: async (service, epoch) => await inquiries.confirmNoClaims(service, epoch) })
     this.#handler = this.#createHandler(inquiries)
     const promoter = new SimulatedPromoter(fleet, this)
+    this.#verifier = new LeadershipVerifier({ clock: time, logger: logger.child({ vm: name }), control })
+    this.context = this.#createContext(this.#verifier)
     this.#host = { clock: time, logger: logger.child({ vm: name }), vm: name, control, claims, promoter, ...this.#handler.createPromotionCallbacks() }
   }
 
@@ -132,23 +161,31 @@
 
   /** Ends this VM after it has announced that it leaves the fleet. */
   leave (): void {
-    for (const other of this.#fleet.vms.values()) if (other !== this) recordLeft(other.members, this.name, this.members.self.incarnation)
+    for (const other of this.#fleet.vms.values()) {
+      if (other === this) continue
+      recordLeft(other.members, this.name, this.members.self.incarnation)
+      other.#handler.createHandlers().removeVm(this.name)
+    }
     this.#fleet.vms.delete(this.name)
     this.kill()
   }
 
-  /** Commits a write at the primary that this VM knows. */
+  /** Has a client write at the primary that this VM knows. */
   commit (): void {
-    const { group } = this
-    const pool = group.primaryPool
-    if (pool === undefined || !this.isRunning || isLeadershipRevoked(group.state, this.#fleet.time.readNow()) || this.connector.unreachable.has(pool.entry.endpoint)) return
-    const send = async (): ReturnType<Parameters<ServiceGroup['runStatement']>[3]> => await new Promise(resolve => {
-      this.#fleet.group.commit(this.#fleet.group.find(pool.entry.endpoint), position => {
-        if (this.isRunning) resolve({ rows: [], signature: 'signature', error: null, state: 'idle', position })
-        return this.isRunning
-      })
-    })
-    group.runStatement(pool, true, STATEMENT_TIMEOUT_MS, send).catch(() => {}) // No response in time: the client's outcome is unknown.
+    this.write().catch((error: unknown) => { this.#fleet.group.lost.push(`write failed: ${String(error)}`) })
+  }
+
+  /** Has a client write, by the product's code for writes. Records what is passed on to the client. */
+  async write (): Promise<Outcome | null> {
+    if (!this.isRunning) return null
+    const id = `${this.name}-${++this.#writeCount}`
+    const statement = { id, text: `WRITE ${id}`, type: 'write' as const }
+    const requiredState = { session: this.name, sessionValues: new Map(), preparedStatements: new Map() }
+    const operation: Operation = { statement, requiredState, preparedName: null, workspace: 'w', route: ROUTE, sessionPosition: null, receivedAtMs: this.#fleet.time.readNow() }
+    const outcome = await runWrite(this.context, this.group, operation)
+    const position = 'response' in outcome && outcome.response.error === null ? outcome.response.position : null
+    if (position !== null && this.isRunning) this.#fleet.group.recordPassedOn(position)
+    return outcome
   }
 
   /** Reads at an endpoint, which responds with its position. */
@@ -162,12 +199,48 @@
     return this.isRunning && other.isRunning && !this.unreachableVms.has(other.name) && !other.unreachableVms.has(this.name)
   }
 
+  /** Whether the VM runs and does not stand still. */
+  get isAwake (): boolean {
+    return this.isRunning && this.process.frozenUntilMs <= this.#fleet.time.readNow()
+  }
+
+  /** Has the VM stand still for `ms` milliseconds. */
+  freeze (ms: number): void {
+    this.process.frozenUntilMs = this.#fleet.time.readNow() + ms
+  }
+
+  /** Runs a function as part of this VM's process, once that does not stand still; not if it has ended. */
+  runAsVm (run: () => void): void {
+    const { time } = this.#fleet
+    const runIfRunning = (): void => { if (this.isRunning) time.runAs(this.process, run) }
+    if (this.process.frozenUntilMs <= time.readNow()) runIfRunning()
+    else time.waitWhileFrozen(this.process).then(runIfRunning, () => {})
+  }
+
+  /** Asks the endpoints which of them leads, as after a statement that the known primary refused. */
+  findPrimary (): void {
+    this.#verifier.findPrimary(this.group).catch(() => {}) // An endpoint that does not respond is no fault.
+  }
+
+  /** Has the VM replace the primary when there is a reason to. */
+  startWatch (): void {
+    const { time, logger } = this.#fleet
+    const options = { clock: time, logger: logger.child({ vm: this.name }), members: this.members, host: this.#host, measurePausedMs: () => this.#verifier.measurePausedMs(this.group), listGroups: () => this.isRunning ? [this.group] : [], poll: () => this.pollOthers(), recordResult: () => {} }
+    this.#watch = new FailoverWatch(options)
+    this.#watch.start()
+  }
+
+  #handlePrimaryChange (service: string): void {
+    this.primaryChangedAtMs = this.#fleet.time.readNow()
+    this.#watch?.recordPrimaryChange(service)
+  }
+
   pollOthers (): void {
     const nowMs = this.#fleet.time.readNow()
     for (const member of this.members.members.values()) {
       const other = this.#fleet.vms.get(member.entry.vm)
       recordPoll(member, nowMs)
-      if (other === undefined || !this.canReach(other)) continue
+      if (other?.isAwake !== true || !this.canReach(other)) continue
       recordReport(this.members, other.name, nowMs)
       const { createReport } = other.#handler.createHandlers()
       this.#handler.createHandlers().applyReport(other.name, createReport(this.name, { type: 'poll', sequence: 1, vmsKnown: this.members.members.size + 1 }), nowMs)
@@ -175,18 +248,32 @@
   }
 
   #send (name: string, message: FleetMessage): void {
-    setTimeout(() => {
+    this.#fleet.time.runAs(undefined, () => setTimeout(() => {
       const other = this.#fleet.vms.get(name)
-      if (other !== undefined && this.canReach(other)) other.#handler.createHandlers().handleMessage(this.name, message)
-    }, MESSAGE_DELAY_MS)
+      if (other !== undefined && this.canReach(other)) other.runAsVm(() => other.#handler.createHandlers().handleMessage(this.name, message))
+    }, MESSAGE_DELAY_MS))
+  }
+
+  #createContext (verifier: LeadershipVerifier): StatementContext {
+    return {
+      clock: this.#fleet.time,
+      location: { failureDomain: 'north', regions: {} },
+      verifyLeadership: async (group, waitMs) => await verifier.verifyLeadership(group, waitMs),
+      refreshPrimary: () => {},
+      estimateRecoveryMs: () => 0,
+      rollbackTimeoutMs: STATEMENT_TIMEOUT_MS,
+      logResponse: () => {},
+      recordUnleasedResponse: () => {},
+      logNoResponse: () => {}
+    }
   }
 
   #createHandler (inquiries: ClaimInquiries): FleetMessageHandler {
     const { time, logger } = this.#fleet
-    const quotas = { createDemandReport: () => [], recordVmDemand: () => {} }
-    const options = { clock: time, logger, self: this.members.self, configuration: { subscribe: () => {}, recordReportedVersion: () => {}, version: 0, current: null }, groups: { find: () => this.group, list: () => [this.group] }, quotas, members: this.members, quotaRecord: {} }
+    const quotas = { createDemandReport: () => [], recordVmDemand: () => {}, removeVm: () => {} }
+    const options = { clock: time, logger, self: this.members.self, configuration: new ConfigurationHolder(logger), groups: { find: () => this.group, list: () => [this.group] }, quotas, members: this.members, quotaRecord: {} }
     const handler = new FleetMessageHandler(options as unknown as FleetMessageHandlerOptions)
-    const [fleet, failover, permits] = [{ send: (vm: string, message: FleetMessage) => this.#send(vm, message), poll: () => {} }, { recordPrimaryChange: () => {} }, {}]
+    const [fleet, failover, permits] = [{ send: (vm: string, message: FleetMessage) => this.#send(vm, message), poll: () => {} }, { recordPrimaryChange: (service: string) => this.#handlePrimaryChange(service) }, {}]
     handler.connect(fleet as never, failover as never, permits as never, inquiries)
     return handler
   }
@@ -197,19 +284,47 @@
   }
 }
 
+/** Times of a call's way to the store and back; `null` if its answer is lost. */
+export type StoreDelays = [toStoreMs: number, toVmMs: number | null]
+
+interface SimulatedStoreOptions { canReach: () => boolean, drawDelays: () => StoreDelays, time: VirtualTime, process: SimulatedProcess }
+
 /** A VM's access to the fleet's store, while it runs and reaches the store. */
 class SimulatedStore extends MemoryStore {
-  readonly #canReach: () => boolean
+  readonly #options: SimulatedStoreOptions
 
-  constructor (state: MemoryStoreState, canReach: () => boolean) {
+  constructor (state: MemoryStoreState, options: SimulatedStoreOptions) {
     super(state)
-    this.#canReach = canReach
+    this.#options = options
+  }
+
+  override async find (kind: WritableKind, name: string): Promise<StoredObject<unknown> | undefined> {
+    return await this.#exchange(async () => await super.find(kind, name))
+  }
+
+  protected override async sendWrite (kind: WritableKind, name: string, value: unknown, number: number | null): Promise<Revision> {
+    return await this.#exchange(async () => await super.sendWrite(kind, name, value, number))
   }
 
   protected override beginCall (): Revision {
-    if (!this.#canReach()) throw new MetadataError('the VM does not reach the store')
+    if (!this.#options.canReach()) throw new MetadataError('the VM does not reach the store')
     return super.beginCall()
   }
+
+  /** Makes a call. One whose answer does not come in time may be executed later. */
+  async #exchange<T> (call: () => Promise<T>): Promise<T> {
+    const { drawDelays, time, process } = this.#options
+    const [toStoreMs, toVmMs] = drawDelays()
+    if (toStoreMs === 0 && toVmMs === 0) return await call()
+    const exchange = async (): Promise<T> => {
+      await time.waitOutside(toStoreMs)
+      const result = await call()
+      await time.waitOutside(toVmMs ?? Infinity)
+      await time.waitWhileFrozen(process)
+      return result
+    }
+    return await waitAtMost(exchange(), STORE_TIMEOUT_MS, () => new MetadataError('no response from the store in time'))
+  }
 }
 
 class SimulatedPromoter extends Promoter {
@@ -224,20 +339,62 @@
 
   override async promote (order: PromotionOrder, timeoutMs: number): Promise<PromotionResult> {
     this.#vm.orders.push(order)
+    const { platform } = this.#fleet
+    if (platform !== undefined) return await this.#sendOrder(platform, order, timeoutMs)
     if (!this.#vm.isRunning || this.#vm.losesOrders) {
       await new Promise(resolve => setTimeout(resolve, timeoutMs))
       return 'unknown'
     }
     this.#fleet.recordOrder(order)
     const orderedAtMs = Date.now()
-    setTimeout(() => this.#fleet.group.promote(order.endpoint, orderedAtMs), this.#vm.promotionDelayMs)
+    this.#fleet.time.runAs(undefined, () => setTimeout(() => this.#fleet.group.promote(order.endpoint, orderedAtMs), this.#vm.promotionDelayMs))
     if (!this.#vm.losesAnswers) return 'accepted'
     await new Promise(resolve => setTimeout(resolve, timeoutMs))
     return 'unknown'
   }
+
+  async #sendOrder (platform: SimulatedPlatform, order: PromotionOrder, timeoutMs: number): Promise<PromotionResult> {
+    const { time } = this.#fleet
+    const expired = new Promise<PromotionResult>(resolve => setTimeout(() => resolve('unknown'), timeoutMs))
+    if (!this.#vm.isRunning || this.#vm.losesOrders) return await expired
+    this.#fleet.recordOrder(order)
+    const answered = platform.receive(order).then(async result => {
+      await time.waitWhileFrozen(this.#vm.process)
+      return result
+    })
+    return await Promise.race([answered, expired])
+  }
 }
 
-/** Opens no connection: statements of the simulation do not use the pool. */
-class IdleConnector extends EndpointConnector {
-  override async connect (): Promise<never> { return await new Promise(() => {}) }
+/** Connects one VM to the endpoints of a simulated group, for the writes of its clients. */
+class SimulatedStatementConnector extends EndpointConnector {
+  readonly #group: SimulatedGroup
+  readonly #vm: SimulatedVm
+
+  constructor (group: SimulatedGroup, vm: SimulatedVm) {
+    super()
+    this.#group = group
+    this.#vm = vm
+  }
+
+  override async connect ({ endpoint }: { endpoint: string }): Promise<EndpointConnection> {
+    const canSend = (): boolean => this.#vm.isRunning && !this.#vm.connector.unreachable.has(endpoint)
+    if (!canSend() || !this.#group.endpoints.has(endpoint)) throw new ConnectionLostError('endpoint does not respond')
+    const connection = {
+      isOpen: true,
+      // A write that does not reach the endpoint, or whose acknowledgement does not reach an open connection of the VM, has no response.
+      run: async () => await new Promise<EndpointResponse>(resolve => {
+        const found = this.#group.endpoints.get(endpoint)
+        if (!canSend() || found === undefined) return
+        this.#group.commit(found, position => {
+          const isReceived = this.#vm.isRunning && connection.isOpen
+          if (isReceived) resolve({ rows: [], signature: 'signature', error: null, state: 'idle', position })
+          return isReceived
+        })
+      }),
+      subscribeClose: () => {},
+      close: () => { connection.isOpen = false }
+    }
+    return connection as unknown as EndpointConnection
+  }
 }
