--- a/packages/gateway/src/failover/promotion-orders-in-drills.test.ts
+++ b/packages/gateway/src/failover/promotion-orders-in-drills.test.ts
@@ -47,6 +47,21 @@
     expect(await promoted).to.equal('b')
   })
 
+  it('is waited for by its VM, which writes its claim again, and the replicas are resumed', async () => {
+    const [vm1, vm2] = startVms('vm1', 'vm2') as [SimulatedVm, SimulatedVm]
+    await commitFor(100, vm2)
+    const copy = fleet.store.createCopy()
+    fleet.group.find('p').isRunning = false
+    const promoted = vm1.promote('primary lost')
+    for (let i = 0; i < 200 && vm1.orders.length === 0; i++) await fleet.advance(STEP_MS)
+    expect(vm1.orders.map(o => o.endpoint)).to.deep.equal(['a'])
+    fleet.store.restore(copy)
+    for (const vm of [vm1, vm2]) vm.readStore()
+    await fleet.advance(10_000)
+    expect(await promoted).to.equal('a')
+    expect(fleet.group.find('b').isPaused).to.equal(false)
+  })
+
   it('that the store has lost together with its VM does not take effect beside another one', async () => {
     const [vm1, vm2, vm3] = startVms('vm1', 'vm2', 'vm3') as [SimulatedVm, SimulatedVm, SimulatedVm]
     await commitFor(100, vm3)
