--- a/packages/gateway/src/failover/promotion-claim.ts
+++ b/packages/gateway/src/failover/promotion-claim.ts
@@ -11,7 +11,7 @@
   const { host, group } = attempt
   if (host.claims.isUsable(attempt.claim)) return true
   try {
-    const renewed = await host.claims.claim(group.service)
+    const renewed = await host.claims.ensureUsable(attempt.claim) ?? await host.claims.claim(group.service)
     attempt.claim = renewed ?? attempt.claim
     return renewed !== null
   } catch (error) {
