Do not take a primary for the leader again, on another VM's report, that was found to be a replica

Each VM found it to be a replica, forgot it, and adopted it again from another VM's report of the same term, or from its directory entry, before any had been without a primary for long enough to replace it. Such a report must now be of a later term.

The new test of the reports failed before.

--- a/packages/gateway/src/fleet/group-reports.test.ts
+++ b/packages/gateway/src/fleet/group-reports.test.ts
@@ -51,6 +51,18 @@
     }
   })
 
+  it('do not make a VM take a primary for the leader again that it has found to be a replica', () => {
+    const [reporter, receiver] = [createGroup(), createGroup()]
+    updatePrimary(reporter.state, 'p', 2)
+    updatePrimary(receiver.state, 'p', 2)
+    receiver.resetPrimary()
+    exchangeReport(reporter, receiver, 1_020, 1_020)
+    expect(receiver.state.primary).to.equal(null)
+    updatePrimary(reporter.state, 'q', 3)
+    exchangeReport(reporter, receiver, 1_120, 1_120)
+    expect(receiver.state.primary).to.deep.equal({ endpoint: 'q', term: 3 })
+  })
+
   it('do not replace the primary by one of an older term', () => {
     const [reporter, receiver] = [createGroup(), createGroup()]
     updatePrimary(reporter.state, 'old', 1)
--- a/packages/gateway/src/fleet/group-reports.ts
+++ b/packages/gateway/src/fleet/group-reports.ts
@@ -34,7 +34,8 @@
  */
 export function applyGroupReport (group: ServiceGroup, vm: string, report: GroupReport, pollSentAtMs: number): void {
   const { state } = group
-  const isNewerTerm = state.primary === null ? report.term > 0 : report.term > state.primary.term
+  const latestKnown = state.primary ?? group.formerPrimary
+  const isNewerTerm = report.term > (latestKnown?.term ?? 0)
   if (isNewerTerm) group.adoptPrimary(report.primary, report.term, `vm ${vm}`)
   if (state.primary?.endpoint !== report.primary) return
   if (report.leadershipAgeMs !== null) recordLeadership(state, report.primary, pollSentAtMs - report.leadershipAgeMs)
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -2,7 +2,7 @@
 import type { EndpointResponse, EndpointConnector, EndpointStatus } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError, LeadershipLostError } from '../backend/errors.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { createGroupState, hasLeadershipLease, isLeadershipRevoked, readCommitLeaseEndMs, recordPrimaryResponse, recordCommit, revokeLeadership, updatePrimary, type GroupState } from '../freshness/group-state.ts'
+import { createGroupState, hasLeadershipLease, isLeadershipRevoked, readCommitLeaseEndMs, recordPrimaryResponse, recordCommit, revokeLeadership, updatePrimary, type GroupState, type KnownPrimary } from '../freshness/group-state.ts'
 import type { ConnectionLimits } from '../pool/connection-plan.ts'
 import { recordAbandoned, recordResponse, recordSent, recordNoResponse } from '../pool/endpoint-health.ts'
 import { EndpointPool } from '../pool/endpoint-pool.ts'
@@ -49,6 +49,8 @@
   readonly peers = new Map<string, PeerReport>()
   /** Endpoints that have gone, or restarted without their logs, since this VM started; the oldest first. */
   readonly departures: Departure[] = []
+  /** The primary that was found not to lead any more; reports of others who still take it for the primary do not count. */
+  formerPrimary: KnownPrimary | null = null
   /** Time since when no primary is known; `null` while one is. */
   withoutPrimarySinceMs: number | null
   readonly #options: ServiceGroupOptions
@@ -140,7 +142,7 @@
       pool?.stop()
       this.pools.set(entry.endpoint, new EndpointPool({ entry, connector, clock, logger, recordOpened, readLimits: e => readLimits(this, e) }))
     }
-    if (entry.role === 'primary' && this.state.primary === null) this.adoptPrimary(entry.endpoint, 0, 'registered')
+    if (entry.role === 'primary' && this.state.primary === null && entry.endpoint !== this.formerPrimary?.endpoint) this.adoptPrimary(entry.endpoint, 0, 'registered')
     this.#publishChange()
   }
 
@@ -194,6 +196,7 @@
   resetPrimary (): void {
     const { primary } = this.state
     this.#options.logger.warn('primary unknown', { service: this.service, previousPrimary: primary })
+    this.formerPrimary = primary ?? this.formerPrimary
     this.state.primary = null
     this.withoutPrimarySinceMs = this.#options.clock.readNow()
     this.unansweredWriteSinceMs = null
