--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -7,6 +7,7 @@
 import type { PromotionReason } from '../failover/decide-promotion.ts'
 import { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import { ControlConnections } from '../failover/control-connections.ts'
+import { DepartureInquiries } from '../failover/departure-inquiries.ts'
 import { DutyClaims } from '../failover/duty-claim.ts'
 import { FailoverWatch } from '../failover/failover-watch.ts'
 import type { PromotionHost } from '../failover/promotion-attempt.ts'
@@ -129,13 +130,14 @@
     this.members = createMemberState({ vm: name, host: '127.0.0.1', port: 1, failureDomain: 'north', region: 'r', incarnation: Date.now() })
     this.members.hasMemberList = true
     this.connector = new SimulatedConnector(fleet.group, time, this.process)
-    this.group = new ServiceGroup({ service: 's', connector: new SimulatedStatementConnector(fleet.group, this), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: MAX_OPEN_CONNECTIONS }), recordOpened: () => {} })
+    const control = new ControlConnections(this.connector)
+    const departureInquiries = new DepartureInquiries({ clock: time, logger: logger.child({ vm: name }), control, members: this.members })
+    this.group = new ServiceGroup({ service: 's', handleDeparture: group => departureInquiries.schedule(group), connector: new SimulatedStatementConnector(fleet.group, this), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: MAX_OPEN_CONNECTIONS }), recordOpened: () => {} })
     this.#store = new SimulatedStore(fleet.store.state, { canReach: () => this.isRunning && this.isStoreReachable, drawDelays: () => this.drawStoreDelays(), time, process: this.process })
     const inquiries: ClaimInquiries = new ClaimInquiries({ store: this.#store, clock: time, members: this.members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => this.#send(vm, message) })
     const claims: DutyClaims = new DutyClaims({ store: this.#store, clock: time, logger, vm: name, incarnation: this.members.self.incarnation, confirmNoClaims: async (service, epoch) => await inquiries.confirmNoClaims(service, epoch) })
     this.#handler = this.#createHandler(inquiries)
     const promoter = new SimulatedPromoter(fleet, this)
-    const control = new ControlConnections(this.connector)
     this.#verifier = new LeadershipVerifier({ clock: time, logger: logger.child({ vm: name }), control })
     this.context = this.#createContext(this.#verifier)
     this.#host = { clock: time, logger: logger.child({ vm: name }), vm: name, control, claims, promoter, ...this.#handler.createPromotionCallbacks() }
