Write the claim again while a promotion order is open and the store has returned from an older copy

A return between an order and its effect made its holder give up with 'another VM has claimed the duty', though none had: it claimed anew, which waits 4 s in a new epoch.

A claim that is still in time is written again first, as before the order. promotion-orders-in-drills.test.ts 'is waited for by its VM' failed before and passes now. Within an epoch no call is added.

--- a/packages/gateway/src/failover/promotion-claim.ts
+++ b/packages/gateway/src/failover/promotion-claim.ts
@@ -6,12 +6,12 @@
 const MAX_RENEWAL_ATTEMPTS = 10
 const RENEWAL_RETRY_DELAY_MS = 500
 
-/** Claims the duty again if the attempt's claim has expired. @returns whether this VM holds it; `undefined` if the store did not respond */
+/** Writes the claim again if the store has returned from an older copy, or claims the duty again if it has expired. @returns whether this VM holds it; `undefined` if the store did not respond */
 export async function updateClaim (attempt: Attempt): Promise<boolean | undefined> {
   const { host, group } = attempt
   if (host.claims.isUsable(attempt.claim)) return true
   try {
-    const renewed = await host.claims.claim(group.service)
+    const renewed = await host.claims.ensureUsable(attempt.claim) ?? await host.claims.claim(group.service)
     attempt.claim = renewed ?? attempt.claim
     return renewed !== null
   } catch (error) {
