Wait for an open order before it is sent again, and never send one again that was accepted

A departed replica that has neither registered nor responded for 10 s counts as gone, so that promotions don't depend on it for good.

--- a/packages/gateway/src/failover/fence-departures.ts
+++ b/packages/gateway/src/failover/fence-departures.ts
@@ -1,7 +1,7 @@
 import { comparePositions, describeError, pickLaterPosition } from '@camphorpitch/wire'
 import type { EndpointStatus } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError, EndpointRefusedError } from '../backend/errors.ts'
-import { recordGone, type ReportedDeparture } from '../groups/departures.ts'
+import { formatStart, recordGone, type ReportedDeparture } from '../groups/departures.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import { ensureNotReplaced } from './check-leadership.ts'
 import type { ControlCommand } from './control-connections.ts'
@@ -9,6 +9,8 @@
 import { RETRY_DELAY_MS, type Attempt } from './promotion-attempt.ts'
 
 const MAX_BUSY_ATTEMPTS = 4
+/** An endpoint that runs registers again within seconds; one that neither has an entry nor responds for this long has ended. */
+const LONG_MISSING_MS = 10_000
 
 interface FencedDeparture {
   /** The departure, with the position that a candidate must hold. */
@@ -51,7 +53,8 @@
     if (status.role === 'primary' || status.pausedForTerm < term) return { departure, isUnfenced: true, status }
     return { departure: { ...departure, logEnd: computeRequiredEnd(departure, status) }, isUnfenced: false, status }
   } catch (error) {
-    const isGone = isEnded(error) || departure.isDraining === true
+    const isLongMissing = group.departures.some(d => formatStart(d) === formatStart(departure) && host.clock.readNow() - d.noticedAtMs >= LONG_MISSING_MS)
+    const isGone = isEnded(error) || departure.isDraining === true || isLongMissing
     if (isGone) recordGone(group.departures, departure)
     host.logger.info('departed replica not paused', { service: group.service, endpoint, address, isGone, logEnd, reason: describeError(error) })
     return { departure: { ...departure, isGone }, isUnfenced: !isGone }
--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -1,5 +1,6 @@
 import { comparePositions, type LogPosition } from '@camphorpitch/wire'
 import type { EndpointConnection, EndpointStatus } from '../backend/endpoint-connector.ts'
+import type { PromotionResult } from '../backend/promoter.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import type { FencedEndpoint } from './decide-promotion.ts'
@@ -11,10 +12,10 @@
 
 const STATUS_INTERVAL_MS = 100
 const PROMOTE_TIMEOUT_MS = 700
-/** An order that has not taken effect after this long is sent again. */
+/** An order that has not taken effect after this long is sent again, unless it was accepted. */
 const PROMOTION_EFFECT_TIMEOUT_MS = 3_500
-/** Number of times that an attempt sends its order; another VM may reach the promoter better. */
-const MAX_ORDER_CALLS = 2
+/** Number of times that an attempt waits for the effect of its order; another VM may reach the promoter better. */
+const MAX_EFFECT_WAITS = 2
 
 /**
  * Orders the promotion, again if it does not take effect in time, and waits until it does. The order is recorded first.
@@ -26,29 +27,40 @@
   const entry = [...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].find(e => e.endpoint === endpoint)
   if (entry === undefined) return null
   const openOrder = { endpoint, startedAtMs: entry.startedAtMs, replacedTerm: attempt.replacedTerm, received, isProven: true }
-  for (let calls = 1; calls <= MAX_ORDER_CALLS; calls++) {
-    if (!await recordOrder(attempt, openOrder)) {
-      host.logger.warn('promotion cancelled, the failover claim has expired', { service: group.service, openOrder: attempt.openOrder })
-      return null
-    }
-    if (!await isStillSafe(attempt, entry, received, fenced)) {
-      host.logger.warn('promotion order not sent, an endpoint has lost its log or its pause, or has joined, since they were compared', { service: group.service, openOrder: attempt.openOrder, ...openOrder })
-      return null
-    }
-    if (!host.claims.isUsable(attempt.claim)) continue // The checks took too long, or this VM stood still.
-    const order = { service: group.service, endpoint, holder: host.vm, fencingToken: attempt.claim.fencingToken }
-    const result = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
-    host.logger.warn('promotion requested', { ...order, result, calls })
-    if (result === 'refused') attempt.openOrder = null
-    else if (result !== 'busy') attempt.openOrder = openOrder
-    if (attempt.openOrder === null) return null
+  // A second call for an order that was accepted might take effect on its own, after the endpoint was replaced again.
+  const isInherited = isSameOrder(attempt.openOrder, openOrder)
+  let isAccepted = false
+  for (let waits = 1; waits <= MAX_EFFECT_WAITS; waits++) {
+    const isSent = isAccepted || (isInherited && waits === 1)
+    if (!isSent) isAccepted = await sendOrder(attempt, entry, openOrder, fenced) === 'accepted'
+    if (!isSameOrder(attempt.openOrder, openOrder)) return null
     if (await waitForEffect(attempt, entry)) return endpoint
-    const renewal = host.revoke(group, attempt.term, false, REVOKE_TIMEOUT_MS)
-    ensureLatestPrimary(attempt, (await renewal).latestPrimary)
+    const { latestPrimary } = await host.revoke(group, attempt.term, false, REVOKE_TIMEOUT_MS)
+    ensureLatestPrimary(attempt, latestPrimary)
   }
   return null
 }
 
+/** Records the order and sends it, if that is still safe. Sets the attempt's open order. @returns the result of the call; `null` if the order was not sent */
+async function sendOrder (attempt: Attempt, entry: EndpointEntry, openOrder: OpenOrder, fenced: readonly FencedEndpoint[]): Promise<PromotionResult | null> {
+  const { host, group } = attempt
+  if (!await recordOrder(attempt, openOrder)) {
+    host.logger.warn('promotion cancelled, the failover claim has expired', { service: group.service, openOrder: attempt.openOrder })
+    return null
+  }
+  if (!await isStillSafe(attempt, entry, openOrder.received, fenced)) {
+    host.logger.warn('promotion order not sent, an endpoint has lost its log or its pause, or has joined, since they were compared', { service: group.service, openOrder: attempt.openOrder, ...openOrder })
+    return null
+  }
+  if (!host.claims.isUsable(attempt.claim)) return null // The checks took too long, or this VM stood still.
+  const order = { service: group.service, endpoint: entry.endpoint, holder: host.vm, fencingToken: attempt.claim.fencingToken }
+  const result = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
+  host.logger.warn('promotion requested', { ...order, result })
+  if (result === 'refused') attempt.openOrder = null
+  else if (result !== 'busy') attempt.openOrder = openOrder
+  return result
+}
+
 /**
  * Checks right before an order is sent that its endpoint has not lost its log, no other replica has lost its pause, and none has joined,
  * since they were compared.
