--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -35,7 +35,7 @@
     if (!isSent) isAccepted = await sendOrder(attempt, entry, openOrder, fenced) === 'accepted'
     if (!isSameOrder(attempt.openOrder, openOrder)) return null
     if (await waitForEffect(attempt, entry)) return endpoint
-    const { latestPrimary } = await host.revoke(group, attempt.term, false, REVOKE_TIMEOUT_MS)
+    const { latestPrimary } = await host.revoke(group, attempt.replacedTerm + 1, false, REVOKE_TIMEOUT_MS)
     ensureLatestPrimary(attempt, latestPrimary)
   }
   return null
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -86,7 +86,7 @@
   const { host, group, reason } = attempt
   const isPlanned = reason === 'primary draining'
   await updateTerm(attempt)
-  const pendingRevocation = host.revoke(group, attempt.term, isPlanned, isPlanned ? PLANNED_REVOKE_TIMEOUT_MS : REVOKE_TIMEOUT_MS)
+  const pendingRevocation = host.revoke(group, attempt.replacedTerm + 1, isPlanned, isPlanned ? PLANNED_REVOKE_TIMEOUT_MS : REVOKE_TIMEOUT_MS)
   if (isPlanned) ensureLatestPrimary(attempt, (await pendingRevocation).latestPrimary)
   let fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
   const fencedAtMs = host.clock.readNow()
--- a/packages/gateway/src/freshness/group-state.test.ts
+++ b/packages/gateway/src/freshness/group-state.test.ts
@@ -72,6 +72,19 @@
     expect(findRequiredPosition(state, 50, 11_000)).to.equal(undefined)
   })
 
+  it('revokes the leadership of every primary of an earlier term, also of one that becomes known later', () => {
+    const state = createGroupState('orders')
+    revokeLeadership(state, '', 3, 1_000)
+    updatePrimary(state, 'a', 2)
+    recordLeadership(state, 'a', 1_100)
+    expect(isPrimaryFresh(state, 0, 1_110)).to.equal(false)
+    updatePrimary(state, 'b', 3)
+    recordLeadership(state, 'b', 1_200)
+    expect(isPrimaryFresh(state, 0, 1_210)).to.equal(true)
+    revokeLeadership(state, 'a', 4, 1_300)
+    expect(isPrimaryFresh(state, 0, 1_310)).to.equal(false)
+  })
+
   it('accepts no proof of leadership after a revocation until the attempt fails or the revocation expires', () => {
     const state = createLedState()
     recordLeadership(state, 'a', 1_000)
--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -48,13 +48,15 @@
   lastResponseAtMs: number
   /** Until then the primary's leadership is revoked, as confirmed to the VM that runs a promotion. */
   revokedUntilMs: number
+  /** Until then, primaries of earlier terms than this are revoked. */
+  revokedTerm: number
   /** Whether the primary is asked to step down before another endpoint is promoted. */
   isRevocationPlanned: boolean
 }
 
 /** @example createGroupState('orders') */
 export function createGroupState (service: string): GroupState {
-  return { service, primary: null, leadershipLeaseEndsMs: -Infinity, completionEndsMs: -Infinity, verifiedAtMs: -Infinity, replicaStartNoticedAtMs: -Infinity, samples: [], acknowledged: null, acknowledgedAtMs: -Infinity, lastCommitSentAtMs: -Infinity, lastResponseAtMs: -Infinity, revokedUntilMs: -Infinity, isRevocationPlanned: false }
+  return { service, primary: null, leadershipLeaseEndsMs: -Infinity, completionEndsMs: -Infinity, verifiedAtMs: -Infinity, replicaStartNoticedAtMs: -Infinity, samples: [], acknowledged: null, acknowledgedAtMs: -Infinity, lastCommitSentAtMs: -Infinity, lastResponseAtMs: -Infinity, revokedUntilMs: -Infinity, revokedTerm: 0, isRevocationPlanned: false }
 }
 
 /**
@@ -68,8 +70,9 @@
   if (primary !== null && term < primary.term) return false
   if (primary?.endpoint === endpoint) {
     const isNewer = term > primary.term
-    if (isNewer && primary.term > 0) resetLeadership(state)
+    const hadTerm = primary.term > 0
     primary.term = term
+    if (isNewer && hadTerm) resetLeadership(state)
     return isNewer
   }
   if (primary !== null && term === primary.term && term > 0) return false
@@ -83,7 +86,7 @@
   state.leadershipLeaseEndsMs = -Infinity
   state.completionEndsMs = -Infinity
   state.lastResponseAtMs = -Infinity
-  state.revokedUntilMs = -Infinity
+  if (state.primary === null || state.primary.term >= state.revokedTerm) state.revokedUntilMs = -Infinity
 }
 
 /**
@@ -145,14 +148,16 @@
 }
 
 /**
- * Revokes the leadership lease of the endpoint on request of a promotion to `term`: reads and writes no longer rely on it. Ignored if
- * the known primary has a later term.
+ * Revokes the leadership lease of the endpoint on request of a promotion to `term`: reads and writes no longer rely on it, nor on that of
+ * another primary of an earlier term, also one that becomes known later. Ignored if the known primary has a later term.
  *
  * @param isPlanned whether the primary steps down before another endpoint is promoted, so that commits in flight may finish
  * @returns whether it was revoked
  */
 export function revokeLeadership (state: GroupState, endpoint: string, term: number, nowMs: number, isPlanned = false): boolean {
-  if (state.primary?.endpoint !== endpoint || state.primary.term > term) return false
+  const { primary } = state
+  if (primary !== null && (primary.endpoint === endpoint ? primary.term > term : primary.term >= term)) return false
+  state.revokedTerm = term
   if (!isPlanned) state.completionEndsMs = -Infinity
   else if (!isLeadershipRevoked(state, nowMs)) state.completionEndsMs = Math.max(state.completionEndsMs, state.leadershipLeaseEndsMs)
   state.leadershipLeaseEndsMs = Math.min(state.leadershipLeaseEndsMs, nowMs)
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -105,7 +105,7 @@
   /** Revokes the endpoint's leadership on request of a promotion to `term`. Unless the change is planned, gives up what is in flight there. */
   revokeLeadership (endpoint: string, term: number, isPlanned: boolean): void {
     if (!revokeLeadership(this.state, endpoint, term, this.#options.clock.readNow(), isPlanned)) return
-    if (!isPlanned) this.#abandonStatements(endpoint, new LeadershipLostError('the primary is being replaced'))
+    if (!isPlanned) this.#abandonStatements(this.state.primary?.endpoint ?? endpoint, new LeadershipLostError('the primary is being replaced'))
     this.#publishChange()
   }
 
