--- /dev/null
+++ b/packages/gateway/src/failover/promotion-order-histories.test.ts
@@ -0,0 +1,32 @@
+import { expect } from 'chai'
+import { OrderHistory, type OrderHistoryOptions } from '../testing/order-history.ts'
+
+/** `PROMOTION_SEEDS=1-500` runs other seeds, `PROMOTION_TRACE=1` prints their events. */
+const [FIRST_SEED = 1, LAST_SEED = 8] = process.env.PROMOTION_SEEDS?.split('-').map(Number) ?? []
+
+/** Adds tests of the seeds' histories. Each history is played by its first test. */
+function testHistories (options: OrderHistoryOptions): void {
+  let promotions = 0
+  for (let seed = FIRST_SEED; seed <= LAST_SEED; seed++) {
+    let history: OrderHistory
+
+    it(`lose no acknowledged commit and send no token after a higher one, seed ${seed}`, async () => {
+      history = new OrderHistory(seed, options)
+      await history.run()
+      promotions += history.promotions
+      expect([...history.fleet.group.lost, ...history.fleet.brokenOrders]).to.deep.equal([])
+    })
+
+    it(`leave a primary that acknowledges commits once all faults have ended, seed ${seed}`, () => expect(history.isLive).to.equal(true))
+
+    it(`send no order while an earlier one for another endpoint may still take effect, seed ${seed}`, () => expect(history.platform.crossed).to.deep.equal([]))
+  }
+
+  it('take place in them', () => expect(promotions).to.be.at.least(LAST_SEED - FIRST_SEED + 1))
+}
+
+describe('promotions in random histories of slow, lost and repeated orders', () => testHistories({ hasOrderFaults: true }))
+
+describe('promotions in random histories of replicas that restart between an order and its effect', () => testHistories({ hasRestarts: true }))
+
+describe('promotions in random histories of replicas whose entries lapse', () => testHistories({ hasLapses: true }))
--- a/packages/gateway/src/failover/promotion-orders.test.ts
+++ b/packages/gateway/src/failover/promotion-orders.test.ts
@@ -123,6 +123,27 @@
     })
   })
 
+  describe('that has taken effect', () => {
+    it('loses no commit of a VM that does not know of it while the new primary is down and a replica has not followed it yet', async () => {
+      const [vm1, vm2] = await startVms('vm1', 'vm2') as [SimulatedVm, SimulatedVm]
+      vm1.unreachableVms.add('vm2')
+      const [a, b] = [fleet.group.find('a'), fleet.group.find('b')]
+      const promoted = vm1.promote('primary lost')
+      await waitForOrder(vm1, vm2)
+      b.isDeaf = true
+      for (let i = 0; i < 100 && a.role === 'replica'; i++) await commitFor(STEP_MS, vm2)
+      await commitFor(200, vm2)
+      a.isRunning = false
+      b.isDeaf = false
+      await commitFor(600, vm2)
+      a.isRunning = true
+      await commitFor(3_000, vm2)
+      expect(await promoted).to.equal('a')
+      expect(fleet.group.leader).to.equal(a)
+      expect(fleet.group.acknowledged.filter(p => !a.hasReceived(p)).map(p => `${p.term}.${p.index}`)).to.deep.equal([])
+    })
+  })
+
   /** The first order is for `a`, which then begins to drain, so that another attempt would prefer `b`. */
   async function sendSlowOrder (vm: SimulatedVm, client: SimulatedVm): Promise<void> {
     vm.promotionDelayMs = 7_500
--- a/packages/gateway/src/testing/order-history.ts
+++ b/packages/gateway/src/testing/order-history.ts
@@ -236,9 +236,9 @@
   /** Starts a crashed endpoint with its log, as a replica if another one was promoted. */
   #startEndpoint (e: SimulatedEndpoint): void {
     if (e.isRunning) return
-    const { leader } = this.#group
+    const isReplaced = [...this.#group.endpoints.values()].some(o => o.term > e.term)
     e.isRunning = true
-    if (leader !== undefined && leader !== e) e.role = 'replica'
+    if (isReplaced) e.role = 'replica'
     this.#print(`${e.endpoint} is back as ${e.role} with its log`)
   }
 
--- a/packages/gateway/src/testing/simulated-platform.ts
+++ b/packages/gateway/src/testing/simulated-platform.ts
@@ -15,7 +15,7 @@
 }
 
 /** An order on its way to the platform, or executed and without effect so far. */
-interface OpenOrder { order: PromotionOrder, sentAtMs: number, isExecuted: boolean }
+interface OpenOrder { order: PromotionOrder, sentAtMs: number, sentWallMs: number, isExecuted: boolean }
 
 /** The platform that executes promotion orders, each after a time of its own. */
 export class SimulatedPlatform {
@@ -23,6 +23,8 @@
   drawFate: () => CallFate = () => ({ toPlatformMs: 2, effectMs: 400, answerMs: 2 })
   /** Whether it refuses calls with a lower fencing token than that of an earlier call. */
   checksTokens = false
+  /** Whether an order takes effect on an endpoint that has restarted without its log since the order was sent: no VM can prevent a loss then. */
+  promotesRestarted = false
   /** Descriptions of orders sent while an earlier one for another endpoint could still take effect. */
   readonly crossed: string[] = []
   /** Number of the orders that were executed while an earlier one for the same endpoint was without effect. */
@@ -48,7 +50,7 @@
     this.#checkCrossing(order)
     this.#group.print(`order for ${order.endpoint} sent by ${order.holder}, token ${order.fencingToken}, ${JSON.stringify({ toPlatformMs, isBusy, effectMs, answerMs })}`)
     if (toPlatformMs === null) return await this.#waitForever()
-    const open = { order, sentAtMs: this.#time.readNow(), isExecuted: false }
+    const open = { order, sentAtMs: this.#time.readNow(), sentWallMs: Date.now(), isExecuted: false }
     if (!isBusy) this.#open.add(open)
     await this.#time.waitOutside(toPlatformMs)
     const result = isBusy ? 'busy' : this.#execute(open, effectMs)
@@ -71,11 +73,10 @@
       return isRefused ? 'refused' : 'accepted'
     }
     open.isExecuted = true
-    const executedAtMs = Date.now()
     this.#time.runAs(undefined, () => setTimeout(() => {
       this.#open.delete(open)
-      // Nor does it say whether an endpoint is promoted that has restarted since: here it is not.
-      this.#group.promote(endpoint, executedAtMs)
+      // Nor does it say whether an endpoint is promoted that has restarted since the order was sent: here it is not.
+      this.#group.promote(endpoint, this.promotesRestarted ? Infinity : open.sentWallMs)
     }, effectMs))
     return 'accepted'
   }
