--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -1,6 +1,6 @@
 import { describeError, type Clock, type Logger } from '@camphorpitch/wire'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { isLeadershipRevoked, recordLeadership } from '../freshness/group-state.ts'
+import { isLeadershipRevoked, recordVerification } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import type { ControlConnections } from './control-connections.ts'
@@ -91,7 +91,7 @@
       await Promise.any([...sufficientProofs, ...proofs.length > 1 ? [Promise.all(proofs.map(v => v.proof))] : []])
       await Promise.race([Promise.allSettled(proofs.map(v => v.proof)), waitFor(PAUSE_CHECK_MS)])
       if (this.#isPauseRecent(group, isPauseSeen)) throw new Error('a replica is paused, so a promotion may be in progress')
-      recordLeadership(group.state, primary.endpoint, sentAtMs)
+      recordVerification(group.state, primary.endpoint, sentAtMs)
       this.#options.logger.info('leadership verified', { service: group.service, primary: primary.endpoint, term: group.state.primary?.term, replicaCount: replicas.length })
     } catch (error) {
       if (isPauseSeen) this.#isPauseRecent(group, isPauseSeen)
