Do not resume a replica that has not followed the new primary while the replaced one has not stepped down

The promotion itself ends the replicas' pause. The replaced primary is asked to step down first; without its answer only replicas at the new term are resumed.

--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -1,6 +1,8 @@
 import { comparePositions, describeError, pickLaterPosition } from '@camphorpitch/wire'
 import { formatStart, mergeDepartures, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
+import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
+import { waitFor } from '../runtime/wait-at-most.ts'
 import { ensureLatestPrimary, ensureNotReplaced } from './check-leadership.ts'
 import type { Claim } from './duty-claim.ts'
 import { pickCandidate, type FencedEndpoint, type PromotionReason } from './decide-promotion.ts'
@@ -10,6 +12,9 @@
 import { REVOKE_TIMEOUT_MS, runOnAll, type Attempt, type PromotionHost, type Revocation } from './promotion-attempt.ts'
 import { ensureClaim, ensureOrderCleared } from './promotion-claim.ts'
 
+/** Checks whether replicas follow a new primary, and the time between two of them. */
+const MAX_FOLLOW_CHECKS = 5
+const FOLLOW_CHECK_INTERVAL_MS = 200
 /** Time to confirm in a planned change, in which VMs may let statements in flight at the primary finish first. */
 const PLANNED_REVOKE_TIMEOUT_MS = 700
 
@@ -178,7 +183,33 @@
     host.publishOutcome(group, null, term, attempt.leadershipVerifiedAtMs)
   }
   const others = [...group.pools.values()].map(p => p.entry).filter(e => e.endpoint !== promoted && e !== oldPrimary)
-  await Promise.all([runOnAll(attempt, others, async c => await c.resume()), resumeDepartures(attempt)])
-  if (oldPrimary !== undefined && promoted !== null && promoted !== oldPrimary.endpoint) await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
+  const mayResume = promoted === null || promoted === oldPrimary?.endpoint || await hasSteppedDown(attempt)
+  if (mayResume) await Promise.all([runOnAll(attempt, others, async c => await c.resume()), resumeDepartures(attempt)])
+  else await resumeFollowing(attempt, others)
   await host.claims.release({ ...attempt.claim, order: null })
 }
+
+/** Has the replaced primary step down. @returns whether it has */
+async function hasSteppedDown (attempt: Attempt): Promise<boolean> {
+  const { oldPrimary, term } = attempt
+  if (oldPrimary === undefined) return true
+  const [demoted] = await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
+  return demoted?.status.role === 'replica'
+}
+
+/**
+ * Resumes the replicas that follow the new primary. The promotion has ended the pause of the others; to resume one that has not followed it
+ * yet would let it receive from the replaced primary again, which has not stepped down.
+ */
+async function resumeFollowing (attempt: Attempt, replicas: readonly EndpointEntry[]): Promise<void> {
+  const { host, group, term } = attempt
+  let waiting = replicas
+  for (let attempts = 1; waiting.length > 0 && attempts <= MAX_FOLLOW_CHECKS; attempts++) {
+    const statuses = await runOnAll(attempt, waiting, async c => await c.readStatus())
+    const following = statuses.filter(({ status }) => status.term >= term).map(s => s.entry)
+    await runOnAll(attempt, following, async c => await c.resume())
+    waiting = waiting.filter(e => !following.includes(e))
+    if (waiting.length > 0) await waitFor(FOLLOW_CHECK_INTERVAL_MS)
+  }
+  if (waiting.length > 0) host.logger.warn('replicas not resumed, they do not follow the new primary yet and the replaced one has not stepped down', { service: group.service, term, replicas: waiting.map(e => e.endpoint) })
+}
