--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -247,6 +247,11 @@
     }
   }
 
+  /** Handles a message of another VM, as one that was on its way for long. */
+  receive (from: string, message: FleetMessage): void {
+    this.runAsVm(() => this.#handler.createHandlers().handleMessage(from, message))
+  }
+
   #send (name: string, message: FleetMessage): void {
     this.#fleet.time.runAs(undefined, () => setTimeout(() => {
       const other = this.#fleet.vms.get(name)
