--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -125,7 +125,7 @@
 
 /**
  * Finds the endpoint of an order that may still take effect. Its choice was proven when the order was recorded, and no commit was
- * acknowledged since. One that has left, or started again without its log, is not promoted by that order any more.
+ * acknowledged since. One that is known to have ended, or has started again without its log, is not promoted by that order any more.
  *
  * @throws Error if it does not respond, so that nothing can be ordered: if it runs, it may become primary at any time
  */
@@ -134,6 +134,8 @@
   if (openOrder === null || !openOrder.isProven) return undefined
   const ordered = fenced.endpoints.find(f => f.endpoint === openOrder.endpoint)
   const isSameStart = group.pools.get(openOrder.endpoint)?.entry.startedAtMs === openOrder.startedAtMs
+  const lapsed = group.departures.find(d => formatStart(d) === formatStart(openOrder))
+  if (!isSameStart && lapsed !== undefined && lapsed.isGone !== true) throw new Error(`${openOrder.endpoint} has no entry, but may be promoted at any time by an earlier order`)
   if (isSameStart && ordered === undefined) throw new Error(`${openOrder.endpoint} does not respond and may be promoted at any time by an earlier order`)
   const isComplete = ordered !== undefined && comparePositions(ordered.received, pickLaterPosition(acknowledged, openOrder.received)) >= 0
   if (isSameStart && isComplete) return ordered
