--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -45,6 +45,8 @@
   #permits: PermitClient | undefined
   #claimInquiries: ClaimInquiries | undefined
   #lastAttemptNumber = 0
+  /** VM that has revoked the leadership of each service's primary last. */
+  readonly #revokingVms = new Map<string, string>()
 
   constructor (options: FleetMessageHandlerOptions) {
     this.#options = options
@@ -147,6 +149,7 @@
 
   async #handleRevoke (vm: string, message: Extract<FleetMessage, { type: 'revoke' }>): Promise<void> {
     const { service, endpoint, term, attempt, isPlanned } = message
+    this.#revokingVms.set(service, vm)
     const group = this.#options.groups.find(service)
     if (group !== undefined) {
       this.#options.logger.info('verified leadership revoked at the request of another vm', { service, endpoint, term, requestedBy: vm })
@@ -180,6 +183,7 @@
     const vms = listPossiblyRunning(members, sentAtMs).map(m => m.entry.vm)
     const confirmations = this.#revocations.collect(attempt, vms, waitMs)
     for (const vm of vms) this.#fleet?.send(vm, { type: 'revoke', service: group.service, endpoint, term, attempt, isPlanned })
+    this.#revokingVms.set(group.service, self.vm)
     await this.#revokeLocalLeadership(group, endpoint, term, isPlanned)
     const { acknowledged, primary, lastCommitSentAtMs } = group.state
     const revocation = addConfirmation(await confirmations, { acknowledged, primary, endpoints: [], departures: [], lastCommitAgeMs: sentAtMs - lastCommitSentAtMs, uptimeMs: Infinity })
@@ -201,7 +205,10 @@
     const group = this.#options.groups.find(service)
     if (group === undefined) return
     if (endpoint === undefined) {
-      if (isLeadershipRevoked(group.state, this.#options.clock.readNow())) restoreLeadership(group.state)
+      // The outcome of an earlier attempt may arrive after the revocation of a later one of another VM.
+      const isOutcomeOfRevocation = this.#revokingVms.get(service) === vm
+      if (isOutcomeOfRevocation && isLeadershipRevoked(group.state, this.#options.clock.readNow())) restoreLeadership(group.state)
+      else this.#options.logger.info('outcome of a promotion attempt ignored, another vm has revoked the leadership since', { service, term, vm, revokedBy: this.#revokingVms.get(service) })
       group.publishChange()
       return
     }
