--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -56,8 +56,8 @@
   const order = { service: group.service, endpoint: entry.endpoint, holder: host.vm, fencingToken: attempt.claim.fencingToken }
   const result = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
   host.logger.warn('promotion requested', { ...order, result })
-  if (result === 'refused') attempt.openOrder = null
-  else if (result !== 'busy') attempt.openOrder = openOrder
+  // A call without an answer may still be executed although a later one was refused.
+  if (result === 'accepted' || result === 'unknown') attempt.openOrder = openOrder
   return result
 }
 
