--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -97,9 +97,9 @@
     return primary?.endpoint !== endpoint || (isLeadershipRevoked(this.state, this.#options.clock.readNow()) && !isRevocationPlanned)
   }
 
-  /** Whether there ever was an endpoint that could be promoted. The leadership of one that has always been alone needs no proof. */
+  /** Whether there may be an endpoint that could be promoted. The leadership of one that is alone needs no proof. */
   get #hasReplicas (): boolean {
-    return this.pools.size > 1 || this.departures.length > 0
+    return this.pools.size > 1 || this.departures.some(d => d.isGone !== true)
   }
 
   /** Revokes the endpoint's leadership on request of a promotion to `term`. Unless the change is planned, gives up what is in flight there. */
