Record a primary that has stepped down in an attempt that promoted nothing

The claim's release now names it, its start, term and the end of its log, at no further store call; a recorded order removes it, as another endpoint may lead after that.

--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -25,17 +25,30 @@
   isProven: z.boolean().default(true)
 })
 
+const formerPrimarySchema = z.object({
+  endpoint: z.string(),
+  startedAtMs: z.number(),
+  /** Term that it led. */
+  term: z.number(),
+  /** End of its log when it had stepped down. */
+  received: z.object({ term: z.number(), index: z.number() })
+})
+
 const claimSchema = z.object({
   holder: z.string().nullable(),
   incarnation: z.number(),
   /** Epoch of the store in which the claim was written, as far as its holder knew. */
   epoch: z.number().default(0),
-  order: orderSchema.nullable().default(null).catch(null)
+  order: orderSchema.nullable().default(null).catch(null),
+  formerPrimary: formerPrimarySchema.nullable().default(null).catch(null)
 })
 
 /** A promotion order that may have been sent and may still take effect. */
 export type OpenOrder = z.infer<typeof orderSchema>
 
+/** A primary that has stepped down in an attempt that promoted nothing. Its log is complete as long as no order was recorded since. */
+export type FormerPrimary = z.infer<typeof formerPrimarySchema>
+
 /** The right of one VM to change the primary of a service. Lapses after `CLAIM_VALID_MS`, or when the store's epoch changes. */
 export interface Claim {
   service: string
@@ -46,6 +59,7 @@
   claimedAtMs: number
   /** The order that this or an earlier holder recorded before sending it and has not cleared since. */
   order: OpenOrder | null
+  formerPrimary: FormerPrimary | null
 }
 
 export interface DutyClaimsOptions {
@@ -101,7 +115,7 @@
    */
   async claim (service: string): Promise<Claim | null> {
     const current = await this.#options.store.find('duties', formatObjectName(service))
-    return this.#isFree(service, current) || await this.#confirmUnclaimed(service, current) ? await this.#write(service, current, this.#readOrder(current)) : null
+    return this.#isFree(service, current) || await this.#confirmUnclaimed(service, current) ? await this.#write(service, current, this.#readRecords(current)) : null
   }
 
   /**
@@ -112,7 +126,7 @@
    * @example claim = await claims.recordOrder(claim, { endpoint: 'orders-2', startedAtMs: 1700000000000, replacedTerm: 6, isProven: true, received: { term: 6, index: 120 } })
    */
   async recordOrder (claim: Claim, order: OpenOrder): Promise<Claim | null> {
-    return this.isUsable(claim) ? await this.#write(claim.service, claim, order) : null
+    return this.isUsable(claim) ? await this.#write(claim.service, claim, { order, formerPrimary: null }) : null
   }
 
   /**
@@ -126,7 +140,7 @@
     const current = await store.find('duties', formatObjectName(claim.service))
     const value = claimSchema.safeParse(current?.value)
     const isHolder = value.success && value.data.holder === vm && value.data.incarnation === incarnation
-    return isHolder && this.#isOfCurrentEpoch(current!) ? await this.#write(claim.service, current, null) : null
+    return isHolder && this.#isOfCurrentEpoch(current!) ? await this.#write(claim.service, current, { order: null, formerPrimary: claim.formerPrimary }) : null
   }
 
   /** Whether this VM may be acting on a claim of the service, or an order sent on the strength of one may still be on its way, also from before its start. */
@@ -163,7 +177,7 @@
     const current = await store.find('duties', formatObjectName(claim.service))
     const isClaimedAgain = current !== undefined && this.#isOfCurrentEpoch(current)
     if (!this.#isInTime(claim) || isClaimedAgain) return null
-    const claimedAgain = await this.#write(claim.service, current, claim.order)
+    const claimedAgain = await this.#write(claim.service, current, claim)
     if (claimedAgain !== null) logger.warn('failover claim written again, the metadata store has returned from an older copy', { service: claim.service, previousToken: claim.fencingToken, fencingToken: claimedAgain.fencingToken })
     return claimedAgain
   }
@@ -173,7 +187,7 @@
     const { store, logger, incarnation } = this.#options
     this.#held.delete(claim.service)
     try {
-      await store.write('duties', formatObjectName(claim.service), { holder: null, incarnation, epoch: claim.revision.epoch, order: claim.order }, claim.revision)
+      await store.write('duties', formatObjectName(claim.service), { holder: null, incarnation, epoch: claim.revision.epoch, order: claim.order, formerPrimary: claim.formerPrimary }, claim.revision)
     } catch (error) {
       logger.info('releasing the failover claim failed', { service: claim.service, reason: String(error) })
     }
@@ -184,13 +198,13 @@
   }
 
   /** Writes a claim in place of what was found. @returns `null` if the object has changed since */
-  async #write (service: string, current: Pick<StoredObject<unknown>, 'revision'> | undefined, order: OpenOrder | null): Promise<Claim | null> {
+  async #write (service: string, current: Pick<StoredObject<unknown>, 'revision'> | undefined, { order, formerPrimary }: Pick<Claim, 'order' | 'formerPrimary'>): Promise<Claim | null> {
     const { store, clock, vm, incarnation } = this.#options
     const claimedAtMs = clock.readNow()
     try {
-      const revision = await store.write('duties', formatObjectName(service), { holder: vm, incarnation, epoch: store.epochs.current, order }, current?.revision ?? null)
+      const revision = await store.write('duties', formatObjectName(service), { holder: vm, incarnation, epoch: store.epochs.current, order, formerPrimary }, current?.revision ?? null)
       this.#observed.delete(service)
-      const claim = { service, fencingToken: computeFencingToken(revision), revision, claimedAtMs, order }
+      const claim = { service, fencingToken: computeFencingToken(revision), revision, claimedAtMs, order, formerPrimary }
       this.#held.set(service, claim)
       return claim
     } catch (error) {
@@ -210,10 +224,13 @@
     return nowMs - sinceMs >= CLAIM_TAKEOVER_MS
   }
 
-  #readOrder (current: StoredObject<unknown> | undefined): OpenOrder | null {
+  /** Reads what earlier holders have recorded. In an older copy of the store an order may have been cleared since, and another one recorded. */
+  #readRecords (current: StoredObject<unknown> | undefined): Pick<Claim, 'order' | 'formerPrimary'> {
     const claim = claimSchema.safeParse(current?.value)
-    if (current === undefined || !claim.success || claim.data.order === null) return null
-    return this.#isOfCurrentEpoch(current) ? claim.data.order : { ...claim.data.order, isProven: false }
+    if (current === undefined || !claim.success) return { order: null, formerPrimary: null }
+    const { order, formerPrimary } = claim.data
+    if (this.#isOfCurrentEpoch(current)) return { order, formerPrimary }
+    return { order: order === null ? null : { ...order, isProven: false }, formerPrimary: null }
   }
 
   /** Whether the object was written in the store's epoch, by a VM that knew the epoch. */
--- a/packages/gateway/src/failover/fence-group.ts
+++ b/packages/gateway/src/failover/fence-group.ts
@@ -80,6 +80,7 @@
   if (before[0]?.status.role !== 'primary') return []
   const after = await runOnAll(attempt, [oldPrimary], async c => await c.demote(term))
   ensureNotReplaced(attempt, after)
+  for (const { entry: { endpoint, startedAtMs }, status: { role, term: ledTerm, received } } of after) if (role === 'replica') attempt.steppedDown = { endpoint, startedAtMs, term: ledTerm, received }
   return after.filter(({ status }) => status.role === 'replica').map(({ entry, status }) => describeFenced(attempt, entry, status, true))
 }
 
@@ -123,7 +124,9 @@
 }
 
 /** An endpoint whose log is shorter than it has been has lost it, and counts as just started even if its restart is not registered yet. */
-function describeFenced ({ group }: Attempt, entry: EndpointEntry, { received }: EndpointStatus, isOldPrimary: boolean): FencedEndpoint {
+function describeFenced ({ group, steppedDown }: Attempt, entry: EndpointEntry, { received, term }: EndpointStatus, hasJustSteppedDown: boolean): FencedEndpoint {
+  const isFormerPrimary = steppedDown?.endpoint === entry.endpoint && steppedDown.startedAtMs === entry.startedAtMs && steppedDown.term === term && comparePositions(received, steppedDown.received) >= 0
+  const isOldPrimary = hasJustSteppedDown || isFormerPrimary
   const latest = group.pools.get(entry.endpoint)?.latestPosition ?? null
   const hasLostLog = latest !== null && comparePositions(received, latest) < 0
   return { endpoint: entry.endpoint, received, isDraining: entry.isDraining, ageMs: hasLostLog ? 0 : Date.now() - entry.startedAtMs, isOldPrimary }
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -72,6 +72,7 @@
     departures: new Map(),
     leadershipVerifiedAtMs: -Infinity,
     openOrder,
+    steppedDown: claim.formerPrimary,
     mayHaveRecordedOrder: claim.order !== null,
     pendingDemotion: null,
     pendingFence: null
@@ -180,6 +181,7 @@
     return
   }
   if (promoted === null) {
+    attempt.claim = { ...attempt.claim, formerPrimary: attempt.steppedDown }
     if (attempt.mayHaveRecordedOrder && !await ensureOrderCleared(attempt)) return
     host.logger.warn('promotion attempt ended without a promotion, revocation ended and replicas resumed', { service: group.service, term })
     host.publishOutcome(group, null, term, attempt.leadershipVerifiedAtMs)
@@ -188,7 +190,7 @@
   const mayResume = promoted === null || promoted === oldPrimary?.endpoint || await hasSteppedDown(attempt)
   if (mayResume) await Promise.all([runOnAll(attempt, others, async c => await c.resume()), resumeDepartures(attempt)])
   else await resumeFollowing(attempt, others)
-  await host.claims.release({ ...attempt.claim, order: null })
+  await host.claims.release({ ...attempt.claim, order: null, formerPrimary: promoted === null ? attempt.steppedDown : null })
 }
 
 /** Has the replaced primary step down. @returns whether it has */
