--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -26,8 +26,8 @@
  * 3. Has all VMs revoke the leadership of the old primary. If a VM does not confirm, waits until its lease must have expired.
  * 4. Promotes the most advanced replica, waits until it leads, then resumes the other replicas.
  *
- * An order cannot be called back. So it is recorded in the claim before it is sent, and until it has taken effect or was refused, the
- * group stays fenced and this VM, or the next one that claims the duty, orders the same endpoint again.
+ * An order cannot be called back. So it is recorded in the claim before it is sent, and until it has taken effect, or its endpoint has
+ * ended, the group stays fenced and this VM, or the next one that claims the duty, orders the same endpoint again.
  *
  * @returns the name of the new primary, or `null` if none was promoted
  * @throws MetadataError if the store did not respond to the claim
