--- a/packages/gateway/src/failover/duty-claim.test.ts
+++ b/packages/gateway/src/failover/duty-claim.test.ts
@@ -48,6 +48,15 @@
     expect((await a.claim('orders'))!.fencingToken).to.equal(store.revision)
   })
 
+  it('tell in the log that a recorded order is not readable', async () => {
+    const store = new MemoryStore()
+    const warnings: string[] = []
+    const claims = new DutyClaims({ store, clock: new VirtualClock(), logger: { warn: (text: string) => warnings.push(text), info: () => {} } as never, vm: 'a', incarnation: 1 })
+    store.replace('duties', 'failover-orders', { holder: null, incarnation: 1, order: { endpoint: 7 } })
+    expect((await claims.claim('orders'))!.order).to.equal(null)
+    expect(warnings).to.have.length(1)
+  })
+
   it('never allow the use of a lower token after a higher one, in 300 seeded races', async () => {
     for (let seed = 1; seed <= 300; seed++) {
       const random = createSeededRandom(seed)
--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -229,6 +229,8 @@
     const claim = claimSchema.safeParse(current?.value)
     if (current === undefined || !claim.success) return { order: null, formerPrimary: null }
     const { order, formerPrimary } = claim.data
+    const hasUnreadableOrder = order === null && (current.value as { order?: unknown }).order != null
+    if (hasUnreadableOrder) this.#options.logger.warn('promotion order recorded in the failover claim is not readable, it is not waited for', { name: current.name })
     if (this.#isOfCurrentEpoch(current)) return { order, formerPrimary }
     return { order: order === null ? null : { ...order, isProven: false }, formerPrimary: null }
   }
