--- a/packages/gateway/src/failover/decide-promotion.test.ts
+++ b/packages/gateway/src/failover/decide-promotion.test.ts
@@ -67,12 +67,25 @@
 const at = (index: number): LogPosition => ({ term: 1, index })
 
 function createFenced (endpoint: string, index: number, options: Partial<FencedEndpoint> = {}): FencedEndpoint {
-  return { endpoint, received: at(index), isDraining: false, ageMs: 60_000, isOldPrimary: false, ...options }
+  return { endpoint, term: 1, received: at(index), isDraining: false, ageMs: 60_000, isOldPrimary: false, ...options }
 }
 
 const allFenced = { unfencedReplicas: 0, acknowledged: null, hasEveryVmConfirmed: true }
 
 describe('pickCandidate', () => {
+  it('picks the endpoint that led last although a replica has gone with its log, unless another one may have led since', () => {
+    const departed = { ...allFenced, hasEveryVmConfirmed: false, acknowledged: at(5), departures: [{ logEnd: null }] }
+    const fenced = [createFenced('p', 9), createFenced('a', 7, { ageMs: 100 })]
+    expect(pickCandidate({ ...departed, fenced })).to.equal(undefined)
+    const lastLeader = { endpoint: 'p', term: 1 }
+    expect(pickCandidate({ ...departed, fenced, lastLeader })?.endpoint).to.equal('p')
+    expect(pickCandidate({ ...departed, fenced, lastLeader, unfencedReplicas: 1 }), 'an unfenced replica').to.equal(undefined)
+    expect(pickCandidate({ ...departed, fenced: [fenced[0]!, createFenced('a', 7, { term: 2 })], lastLeader }), 'a later term').to.equal(undefined)
+    expect(pickCandidate({ ...departed, fenced: [createFenced('p', 9, { ageMs: 100 }), fenced[1]!], lastLeader }), 'a recent start').to.equal(undefined)
+    expect(pickCandidate({ ...departed, fenced: [createFenced('p', 6), createFenced('a', 7)], lastLeader }), 'a longer log').to.equal(undefined)
+    expect(pickCandidate({ ...departed, fenced, lastLeader: { endpoint: 'p', term: 2 } }), 'a later leadership').to.equal(undefined)
+  })
+
   it('picks the most advanced replica', () => {
     expect(pickCandidate({ ...allFenced, fenced: [createFenced('a', 5), createFenced('b', 9)] })?.endpoint).to.equal('b')
   })
--- a/packages/gateway/src/failover/decide-promotion.ts
+++ b/packages/gateway/src/failover/decide-promotion.ts
@@ -1,4 +1,5 @@
 import { comparePositions, type LogPosition } from '@camphorpitch/wire'
+import type { KnownPrimary } from '../freshness/group-state.ts'
 import { isCovering, type Departure } from '../groups/departures.ts'
 import { ENDPOINT_UNRESPONSIVE_AFTER_MS } from '../pool/endpoint-health.ts'
 
@@ -73,6 +74,8 @@
 /** An endpoint that no longer receives log entries from the old primary, or the old primary itself after it stepped down. */
 export interface FencedEndpoint {
   endpoint: string
+  /** Term that it led, or at which it has followed a primary. */
+  term: number
   received: LogPosition
   isDraining: boolean
   /** Milliseconds since its start. */
@@ -99,6 +102,8 @@
   hasEveryVmConfirmed: boolean
   /** Endpoint to pick among equally advanced ones, as an earlier order for it may still take effect. */
   preferred?: string
+  /** Endpoint that led at the latest term that any VM knows; `null`, the default, if none is known. */
+  lastLeader?: KnownPrimary | null
   /** Whether that covers the positions of VMs that have stopped or restarted. */
   hasEveryAcknowledgement?: boolean
 }
@@ -111,6 +116,9 @@
  * what the primary's log held after that. If it does not, or a replica could not be fenced or has started recently, the candidate
  * must hold every position that the VMs know to be acknowledged.
  *
+ * The endpoint that led last holds every acknowledged write itself, whatever has become of the replicas, as long as it has followed no
+ * later primary and no endpoint has a later term.
+ *
  * A position that any VM knows to be acknowledged rules out a shorter log in any case: then a fenced replica has lost its log in a
  * restart that is not registered yet, or the group has a replica that is not known to be one.
  *
@@ -127,11 +135,20 @@
 }
 
 /** Whether a log up to `latest` holds every acknowledged commit because no other log can hold more. */
-function hasEveryCommit ({ fenced, unfencedReplicas, departures = [] }: CandidateOptions, latest: LogPosition): boolean {
+function hasEveryCommit (options: CandidateOptions, latest: LogPosition): boolean {
+  const { fenced, unfencedReplicas, departures = [] } = options
   if (fenced.some(f => f.isOldPrimary) && unfencedReplicas <= MAX_UNFENCED_BESIDE_PRIMARY) return true
+  if (hasLogOfLastLeader(options, latest)) return true
   return unfencedReplicas === 0 && fenced.every(f => f.ageMs >= RECENT_START_MS) && isCovering(latest, departures)
 }
 
+/** Whether `latest` is the end of the log of the endpoint that led last, and that log is still the one with which it led. */
+function hasLogOfLastLeader ({ fenced, unfencedReplicas, lastLeader = null }: CandidateOptions, latest: LogPosition): boolean {
+  if (lastLeader === null || unfencedReplicas > 0 || fenced.some(f => f.term > lastLeader.term)) return false
+  const leader = fenced.find(f => f.endpoint === lastLeader.endpoint && f.term === lastLeader.term)
+  return leader !== undefined && leader.ageMs >= RECENT_START_MS && comparePositions(leader.received, latest) === 0
+}
+
 /** Whether a log up to `latest` holds every acknowledged commit because the VMs know of none beyond it. */
 function hasKnownCommits ({ acknowledged, hasEveryVmConfirmed, hasEveryAcknowledgement = true }: CandidateOptions, latest: LogPosition): boolean {
   return hasEveryVmConfirmed && hasEveryAcknowledgement && acknowledged !== null && comparePositions(latest, acknowledged) >= 0
--- a/packages/gateway/src/failover/promotion-attempt.ts
+++ b/packages/gateway/src/failover/promotion-attempt.ts
@@ -28,6 +28,8 @@
   acknowledged: LogPosition | null
   /** Primary of the latest term that any of the VMs that confirmed knows; `null` if none knows one. */
   latestPrimary: KnownPrimary | null
+  /** Primary of the latest term that any of them has known and has seen to be a replica since; `null` if none has. */
+  formerPrimary: KnownPrimary | null
   /** The group's endpoints that the other VMs know. */
   endpoints: readonly EndpointStart[]
   /** Endpoints that the other VMs have seen leave the group. */
--- a/packages/gateway/src/failover/promotion-of-last-leader.test.ts
+++ b/packages/gateway/src/failover/promotion-of-last-leader.test.ts
@@ -45,4 +45,26 @@
     expect(fleet.group.lost).to.deep.equal([])
     expect(await promoted).to.equal(null)
   })
+
+  it('leaves a primary that acknowledges commits if the ordered endpoint loses its log after the old primary has stepped down', async () => {
+    const [vm1, vm2] = startVms('vm1', 'vm2') as [SimulatedVm, SimulatedVm]
+    await commitFor(300, vm2)
+    fleet.group.find('b').isDeaf = true
+    await commitFor(300, vm2)
+    vm1.promotionDelayMs = 1_000
+    vm1.promote('primary cut off from its replicas').catch(() => {}) // Its order takes no effect.
+    for (let i = 0; i < 100 && vm1.orders.length === 0; i++) await fleet.advance(STEP_MS)
+    expect(vm1.orders.map(o => o.endpoint)).to.deep.equal(['a'])
+    fleet.group.find('a').startAgain()
+    for (const vm of [vm1, vm2]) vm.addEndpoints('a')
+    await fleet.advance(500)
+    vm2.kill()
+    const [vm3] = startVms('vm2') as [SimulatedVm]
+    for (const vm of [vm1, vm3]) vm.startWatch()
+    await commitFor(25_000, vm3)
+    const before = fleet.group.acknowledged.length
+    await commitFor(5_000, vm3)
+    expect(fleet.group.acknowledged.length).to.be.greaterThan(before)
+    expect(fleet.group.lost).to.deep.equal([])
+  })
 })
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -1,6 +1,7 @@
 import { comparePositions, describeError, pickLaterPosition } from '@camphorpitch/wire'
 import { formatStart, mergeDepartures, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+import type { KnownPrimary } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import { ensureLatestPrimary, ensureNotReplaced } from './check-leadership.ts'
@@ -107,21 +108,35 @@
     mergeEndpoints(attempt, revocation)
     fencedDepartures = await fenceDepartures(attempt)
   }
-  const { departures } = fencedDepartures
-  const unfencedReplicas = fenced.unfencedReplicas + unknownReplicas.length + fencedDepartures.unfencedReplicas
+  const unfencedOthers = unknownReplicas.length + fencedDepartures.unfencedReplicas
+  const found = await findCandidate(attempt, { revocation, fenced, unfencedOthers, departures: fencedDepartures.departures })
+  if (found.candidate === undefined) return null
+  ensureLatestPrimary(attempt, group.state.primary, found.endpoints)
+  return await requestPromotion(attempt, found.candidate, found.endpoints)
+}
+
+interface FencedState {
+  revocation: Revocation
+  fenced: FencedGroup
+  /** Number of replicas beside the group's known ones that may not be fenced. */
+  unfencedOthers: number
+  departures: readonly ReportedDeparture[]
+}
+
+/** Finds the endpoint to promote, at first without the old primary. @returns it with the fenced endpoints that were compared */
+async function findCandidate (attempt: Attempt, { revocation, fenced, unfencedOthers, departures }: FencedState): Promise<{ candidate: FencedEndpoint | undefined, endpoints: FencedEndpoint[] }> {
   const ordered = findOrdered(attempt, fenced, revocation)
-  const preferred = attempt.openOrder?.endpoint
-  let candidate = ordered ?? pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas, departures, preferred })
+  const lastLeader = findLastLeader(attempt, revocation)
+  const pick = ({ endpoints, unfencedReplicas }: FencedGroup): FencedEndpoint | undefined => pickCandidate({ ...revocation, fenced: endpoints, unfencedReplicas: unfencedReplicas + unfencedOthers, departures, preferred: attempt.openOrder?.endpoint, lastLeader })
+  let compared = fenced
+  let candidate = ordered ?? pick(fenced)
   const withFormerPrimary = candidate === undefined ? await fenceFormerPrimary(attempt, fenced) : undefined
   if (withFormerPrimary !== undefined) {
-    const addedUnfenced = withFormerPrimary.unfencedReplicas - fenced.unfencedReplicas
-    fenced = withFormerPrimary
-    candidate = pickCandidate({ ...revocation, fenced: fenced.endpoints, unfencedReplicas: unfencedReplicas + addedUnfenced, departures, preferred })
+    compared = withFormerPrimary
+    candidate = pick(compared)
   }
-  host.logger.info('promotion candidates compared', { service: group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: fenced.endpoints, unfencedReplicas, unknownReplicas, departures, acknowledged: revocation.acknowledged, openOrder: attempt.openOrder, hasEveryVmConfirmed: revocation.hasEveryVmConfirmed, hasEveryAcknowledgement: revocation.hasEveryAcknowledgement })
-  if (candidate === undefined) return null
-  ensureLatestPrimary(attempt, group.state.primary, fenced.endpoints)
-  return await requestPromotion(attempt, candidate, fenced.endpoints)
+  attempt.host.logger.info('promotion candidates compared', { service: attempt.group.service, candidate: candidate?.endpoint, term: attempt.term, fenced: compared.endpoints, unfencedReplicas: compared.unfencedReplicas + unfencedOthers, departures, acknowledged: revocation.acknowledged, openOrder: attempt.openOrder, lastLeader, hasEveryVmConfirmed: revocation.hasEveryVmConfirmed, hasEveryAcknowledgement: revocation.hasEveryAcknowledgement })
+  return { candidate, endpoints: compared.endpoints }
 }
 
 /**
@@ -145,15 +160,23 @@
   return undefined
 }
 
+/** Finds the endpoint that led at the latest term that this or another VM knows, whether it still leads or not; `null` if none is known. */
+function findLastLeader ({ group, knownPrimary }: Attempt, { latestPrimary, formerPrimary }: Revocation): KnownPrimary | null {
+  const known = [knownPrimary, group.state.primary, group.formerPrimary, latestPrimary, formerPrimary]
+  return known.reduce<KnownPrimary | null>((last, k) => k !== null && k.term > (last?.term ?? 0) ? k : last, null)
+}
+
 /**
- * Records the replicas that have left the group, and those that have come (back) since the attempt began. Departures of the old primary
- * do not count: its commits were received by a replica as well.
+ * Records the replicas that have left the group, and those that have come (back) since the attempt began. Departures of the endpoint that led
+ * last do not count: its commits were received by a replica as well.
  *
  * @returns the replicas that other VMs know and this one does not
  */
-function mergeEndpoints ({ group, knownPrimary, oldPrimary, replicas, departures }: Attempt, revocation: Revocation): EndpointStart[] {
+function mergeEndpoints (attempt: Attempt, revocation: Revocation): EndpointStart[] {
+  const { group, oldPrimary, replicas, departures } = attempt
+  const leader = attempt.knownPrimary ?? findLastLeader(attempt, revocation)
   const counted = new Set([...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].map(formatStart))
-  const isReplica = ({ endpoint }: EndpointStart): boolean => endpoint !== knownPrimary?.endpoint
+  const isReplica = ({ endpoint }: EndpointStart): boolean => endpoint !== leader?.endpoint
   const merge = (departure: ReportedDeparture): void => { departures.set(formatStart(departure), mergeDepartures(departures.get(formatStart(departure)), departure)) }
   for (const { noticedAtMs, ...departure } of group.departures.filter(isReplica)) merge(departure)
   for (const { entry: { endpoint, startedAtMs, address, isDraining }, latestPosition } of group.pools.values()) {
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -131,7 +131,7 @@
   }
 
   #handleMessage (vm: string, message: Exclude<FleetMessage, ClaimsWanted | ClaimsReported>): void {
-    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null, endpoints: message.endpoints, departures: message.departures, lastCommitAgeMs: message.lastCommitAgeMs ?? Infinity, uptimeMs: message.uptimeMs })
+    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null, formerPrimary: message.formerPrimary ?? null, endpoints: message.endpoints, departures: message.departures, lastCommitAgeMs: message.lastCommitAgeMs ?? Infinity, uptimeMs: message.uptimeMs })
     else if (message.type === 'promoted') this.#handlePromotionOutcome(vm, message)
     else if (message.type === 'permit') this.#fleet?.send(vm, this.#options.quotas.decidePermit(message))
     else if (message.type === 'configurationWanted') this.#sendConfiguration(vm)
@@ -163,6 +163,7 @@
       attempt,
       acknowledged: group?.state.acknowledged ?? undefined,
       primary: group?.state.primary ?? undefined,
+      formerPrimary: group?.formerPrimary ?? undefined,
       ...listEndpointStarts(group, endpoint),
       lastCommitAgeMs: lastCommitSentAtMs === -Infinity ? undefined : nowMs - lastCommitSentAtMs,
       uptimeMs: nowMs - this.#startedAtMs
@@ -186,7 +187,7 @@
     this.#revokingVms.set(group.service, self.vm)
     await this.#revokeLocalLeadership(group, endpoint, term, isPlanned)
     const { acknowledged, primary, lastCommitSentAtMs } = group.state
-    const revocation = addConfirmation(await confirmations, { acknowledged, primary, endpoints: [], departures: [], lastCommitAgeMs: sentAtMs - lastCommitSentAtMs, uptimeMs: Infinity })
+    const revocation = addConfirmation(await confirmations, { acknowledged, primary, formerPrimary: group.formerPrimary, endpoints: [], departures: [], lastCommitAgeMs: sentAtMs - lastCommitSentAtMs, uptimeMs: Infinity })
     const finishedAtMs = clock.readNow()
     updateMemberLosses(this.#losses, members, finishedAtMs)
     const lastLossAtMs = Math.max(this.#losses.lastLossAtMs, finishedAtMs - revocation.uptimeMs)
--- a/packages/gateway/src/fleet/message-schemas.ts
+++ b/packages/gateway/src/fleet/message-schemas.ts
@@ -104,6 +104,8 @@
   acknowledged: logPositionSchema.optional(),
   /** The primary that the sender knows, and its term. */
   primary: z.object({ endpoint: z.string(), term: z.number().int() }).optional(),
+  /** The latest primary that the sender has seen to be a replica since. */
+  formerPrimary: z.object({ endpoint: z.string(), term: z.number().int() }).optional(),
   /** The group's endpoints that the sender knows. */
   endpoints: z.array(z.object({ endpoint: z.string(), startedAtMs: z.number() })).default([]),
   /** Endpoints that the sender has seen leave the group or restart without their logs. */
--- a/packages/gateway/src/fleet/revocations.ts
+++ b/packages/gateway/src/fleet/revocations.ts
@@ -8,6 +8,8 @@
   /** Latest position that the VM knows to be acknowledged. */
   acknowledged: LogPosition | null
   primary: KnownPrimary | null
+  /** The latest primary that the VM has seen to be a replica since. */
+  formerPrimary: KnownPrimary | null
   /** The group's endpoints that the VM knows. */
   endpoints: readonly EndpointStart[]
   departures: readonly ReportedDeparture[]
@@ -31,12 +33,12 @@
 }
 
 /** Adds what a VM knows to what the others have confirmed with. */
-export function addConfirmation<T extends Omit<Confirmations, 'hasEveryVmConfirmed'>> (revocation: T, { acknowledged, primary, endpoints, departures, lastCommitAgeMs, uptimeMs }: Confirmation): T {
-  const isLater = primary !== null && primary.term > (revocation.latestPrimary?.term ?? -1)
+export function addConfirmation<T extends Omit<Confirmations, 'hasEveryVmConfirmed'>> (revocation: T, { acknowledged, primary, formerPrimary, endpoints, departures, lastCommitAgeMs, uptimeMs }: Confirmation): T {
   return {
     ...revocation,
     acknowledged: acknowledged === null ? revocation.acknowledged : pickLaterPosition(revocation.acknowledged, acknowledged),
-    latestPrimary: isLater ? primary : revocation.latestPrimary,
+    latestPrimary: pickLaterPrimary(revocation.latestPrimary, primary),
+    formerPrimary: pickLaterPrimary(revocation.formerPrimary, formerPrimary),
     endpoints: [...revocation.endpoints, ...endpoints],
     departures: [...revocation.departures, ...departures],
     lastCommitAgeMs: Math.min(revocation.lastCommitAgeMs, lastCommitAgeMs),
@@ -44,13 +46,17 @@
   }
 }
 
+function pickLaterPrimary (known: KnownPrimary | null, reported: KnownPrimary | null): KnownPrimary | null {
+  return reported !== null && reported.term > (known?.term ?? -1) ? reported : known
+}
+
 /** Collects the confirmations of other VMs that they have revoked a primary's verified leadership. */
 export class RevocationCollector {
   readonly #pending = new Map<string, PendingRevocation>()
 
   /** Waits until all VMs have confirmed an attempt, at most for `waitMs` milliseconds. */
   async collect (attempt: string, vms: readonly string[], waitMs: number): Promise<Confirmations> {
-    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, latestPrimary: null, endpoints: [], departures: [], lastCommitAgeMs: Infinity, uptimeMs: Infinity, finish: () => {} }
+    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, latestPrimary: null, formerPrimary: null, endpoints: [], departures: [], lastCommitAgeMs: Infinity, uptimeMs: Infinity, finish: () => {} }
     this.#pending.set(attempt, revocation)
     await new Promise<void>(resolve => {
       const timer = setTimeout(resolve, waitMs)
