--- a/packages/gateway/src/failover/promotion-of-last-leader.test.ts
+++ b/packages/gateway/src/failover/promotion-of-last-leader.test.ts
@@ -46,6 +46,23 @@
     expect(await promoted).to.equal(null)
   })
 
+  it('orders the endpoint of an open order again that is still taken for the primary, but has stepped down', async () => {
+    const [vm] = startVms('vm1') as [SimulatedVm]
+    await commitFor(300, vm)
+    fleet.group.find('a').isDeaf = true
+    fleet.group.find('b').isRunning = false
+    vm.losesOrders = true
+    const failed = vm.promote('primary cut off from its replicas')
+    await commitFor(12_000, vm)
+    expect(await failed).to.equal(null)
+    fleet.group.find('b').isRunning = true
+    vm.losesOrders = false
+    const promoted = vm.promote('primary cut off from its replicas')
+    await commitFor(8_000, vm)
+    expect(await promoted).to.equal('p')
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
   it('leaves a primary that acknowledges commits if the ordered endpoint loses its log after the old primary has stepped down', async () => {
     const [vm1, vm2] = startVms('vm1', 'vm2') as [SimulatedVm, SimulatedVm]
     await commitFor(300, vm2)
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -108,6 +108,9 @@
     mergeEndpoints(attempt, revocation)
     fencedDepartures = await fenceDepartures(attempt)
   }
+  // An order may be open for the endpoint that this VM still takes for the primary, which has stepped down.
+  const isOrderForOldPrimary = attempt.openOrder !== null && attempt.openOrder.endpoint === attempt.knownPrimary?.endpoint
+  if (isOrderForOldPrimary) fenced = await fenceFormerPrimary(attempt, fenced) ?? fenced
   const unfencedOthers = unknownReplicas.length + fencedDepartures.unfencedReplicas
   const found = await findCandidate(attempt, { revocation, fenced, unfencedOthers, departures: fencedDepartures.departures })
   if (found.candidate === undefined) return null
