--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -36,7 +36,7 @@
     if (!isSameOrder(attempt.openOrder, openOrder)) return null
     if (await waitForEffect(attempt, entry)) return endpoint
     const { latestPrimary } = await host.revoke(group, attempt.replacedTerm + 1, false, REVOKE_TIMEOUT_MS)
-    ensureLatestPrimary(attempt, latestPrimary)
+    ensureLatestPrimary(attempt, latestPrimary, fenced)
   }
   return null
 }
--- a/packages/gateway/src/failover/promotion-order-histories.test.ts
+++ b/packages/gateway/src/failover/promotion-order-histories.test.ts
@@ -32,6 +32,6 @@
 
 describe('promotions in random histories of slow, lost and repeated orders', () => testHistories({ hasOrderFaults: true }, 31030))
 
-describe('promotions in random histories of replicas that restart between an order and its effect', () => testHistories({ hasRestarts: true }, 31001))
+describe('promotions in random histories of replicas that restart between an order and its effect', () => testHistories({ hasRestarts: true }, 31001, 31002))
 
 describe('promotions in random histories of replicas whose entries lapse', () => testHistories({ hasLapses: true }, 31016, 31028))
