--- a/packages/gateway/src/failover/fence-departures.ts
+++ b/packages/gateway/src/failover/fence-departures.ts
@@ -1,7 +1,7 @@
 import { comparePositions, describeError, pickLaterPosition } from '@camphorpitch/wire'
 import type { EndpointStatus } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError, EndpointRefusedError } from '../backend/errors.ts'
-import { formatStart, recordGone, type ReportedDeparture } from '../groups/departures.ts'
+import { formatStart, LONG_MISSING_MS, recordGone, type ReportedDeparture } from '../groups/departures.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import { ensureNotReplaced } from './check-leadership.ts'
 import type { ControlCommand } from './control-connections.ts'
@@ -9,8 +9,6 @@
 import { RETRY_DELAY_MS, type Attempt } from './promotion-attempt.ts'
 
 const MAX_BUSY_ATTEMPTS = 4
-/** An endpoint that runs registers again within seconds; one that neither has an entry nor responds for this long has ended. */
-const LONG_MISSING_MS = 10_000
 
 interface FencedDeparture {
   /** The departure, with the position that a candidate must hold. */
--- a/packages/gateway/src/groups/departures.ts
+++ b/packages/gateway/src/groups/departures.ts
@@ -6,6 +6,9 @@
 /** Departures of a group that a VM reports to the others. */
 const MAX_REPORTED_DEPARTURES = 8
 
+/** An endpoint that runs registers again within seconds; one that neither has an entry nor responds for this long has ended. */
+export const LONG_MISSING_MS = 10_000
+
 /** An endpoint that was removed from the directory, or that started again without its log. */
 export interface Departure {
   endpoint: string
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -7,7 +7,7 @@
 import { recordAbandoned, recordResponse, recordSent, recordNoResponse } from '../pool/endpoint-health.ts'
 import { EndpointPool } from '../pool/endpoint-pool.ts'
 import { waitAtMost } from '../runtime/wait-at-most.ts'
-import { addDeparture, formatStart, recordLogEnd, removeDeparture, resetLogEnds, type DepartedEndpoint, type Departure } from './departures.ts'
+import { addDeparture, formatStart, LONG_MISSING_MS, recordLogEnd, removeDeparture, resetLogEnds, type DepartedEndpoint, type Departure } from './departures.ts'
 
 /** A draining endpoint gets no new work after this long, although it continues to serve for some seconds more. */
 export const MAX_DRAINING_USE_MS = 4_000
@@ -41,6 +41,7 @@
   readonly service: string
   readonly state: GroupState
   readonly pools = new Map<string, EndpointPool>()
+  readonly #createdAtMs: number
   /** Time at which the first write was sent to the primary since its last response to a write; `null` if no write has been sent since. */
   unansweredWriteSinceMs: number | null = null
   /** Number of writes and commits sent to the primary that are still pending. */
@@ -63,6 +64,7 @@
     this.service = options.service
     this.state = createGroupState(options.service)
     this.withoutPrimarySinceMs = options.clock.readNow()
+    this.#createdAtMs = this.withoutPrimarySinceMs
   }
 
   /** The pool of the known primary; `undefined` if no primary is known or it is not registered. */
@@ -97,9 +99,13 @@
     return primary?.endpoint !== endpoint || (isLeadershipRevoked(this.state, this.#options.clock.readNow()) && !isRevocationPlanned)
   }
 
-  /** Whether there may be an endpoint that could be promoted. The leadership of one that is alone needs no proof. */
+  /**
+   * Whether there may be an endpoint that could be promoted. The leadership of one that is alone needs no proof. A replica may be missing
+   * from the directory for a while although it runs, also from the first list that this VM has read.
+   */
   get #hasReplicas (): boolean {
-    return this.pools.size > 1 || this.departures.some(d => d.isGone !== true)
+    if (this.pools.size > 1 || this.departures.some(d => d.isGone !== true)) return true
+    return this.departures.length === 0 && this.#options.clock.readNow() - this.#createdAtMs < LONG_MISSING_MS
   }
 
   /** Revokes the endpoint's leadership on request of a promotion to `term`. Unless the change is planned, gives up what is in flight there. */
