--- a/packages/gateway/src/failover/decide-promotion.test.ts
+++ b/packages/gateway/src/failover/decide-promotion.test.ts
@@ -57,6 +57,12 @@
     expect(findPromotionReason({ ...lost, isIsolated: true })).to.equal(null)
   })
 
+  it('is an open order whose VM is not known to act on it any more, although the primary responds', () => {
+    expect(findPromotionReason({ ...healthy, unclosedOrderMs: -1 })).to.equal(null)
+    expect(findPromotionReason({ ...healthy, unclosedOrderMs: 0 })).to.equal('promotion order open')
+    expect(findPromotionReason({ ...healthy, unclosedOrderMs: 0, rank: 1 })).to.equal(null)
+  })
+
   it('delays VMs of higher rank, for a limited time', () => {
     const lost = { ...healthy, unresponsiveMs: 800, sinceLastResponseMs: 800 }
     expect(findPromotionReason({ ...lost, rank: 3 })).to.equal(null)
--- a/packages/gateway/src/failover/decide-promotion.ts
+++ b/packages/gateway/src/failover/decide-promotion.ts
@@ -37,6 +37,8 @@
   /** Time since the primary last acknowledged a write of any VM. */
   sinceAcknowledgedMs: number
   withoutPrimaryMs: number
+  /** For how long an order has been open whose VM is not known to act on it any more; `null` if none is open. */
+  unclosedOrderMs?: number | null
   /** For how long this VM has found replicas paused although it knows of no promotion that runs. */
   leftPausedMs: number
   /** Whether other VMs are known but none of them responds. */
@@ -47,7 +49,7 @@
   hasCandidate: boolean
 }
 
-export type PromotionReason = 'primary lost' | 'primary cut off from its replicas' | 'primary draining' | 'no primary' | 'replicas left paused'
+export type PromotionReason = 'primary lost' | 'primary cut off from its replicas' | 'primary draining' | 'no primary' | 'replicas left paused' | 'promotion order open'
 
 /**
  * Finds the reason for which this VM should replace the primary now; `null` if it should not.
@@ -58,6 +60,7 @@
 export function findPromotionReason (evidence: PromotionEvidence): PromotionReason | null {
   if (!evidence.hasCandidate || evidence.isIsolated) return null
   const delayMs = Math.min(evidence.rank, MAX_DELAYED_RANK) * RANK_DELAY_MS
+  if (evidence.unclosedOrderMs != null) return evidence.unclosedOrderMs >= delayMs ? 'promotion order open' : null
   if (!evidence.hasPrimary) return evidence.withoutPrimaryMs >= NO_PRIMARY_TIMEOUT_MS + delayMs ? 'no primary' : null
   if (isPrimaryLost(evidence, delayMs)) return 'primary lost'
   if (Math.min(evidence.pendingWriteMs, evidence.sinceAcknowledgedMs) >= STALLED_WRITES_TIMEOUT_MS + delayMs) return 'primary cut off from its replicas'
--- a/packages/gateway/src/failover/failover-watch.ts
+++ b/packages/gateway/src/failover/failover-watch.ts
@@ -1,6 +1,6 @@
 import { describeError, type Clock, type Logger } from '@camphorpitch/wire'
 import { computeRank, listResponsive, listPossiblyRunning, type MemberState } from '../fleet/members.ts'
-import { isLeadershipRevoked } from '../freshness/group-state.ts'
+import { hasOpenOrder } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { measureUnansweredMs } from '../pool/endpoint-health.ts'
 import { findPromotionReason, type PromotionEvidence } from './decide-promotion.ts'
@@ -39,12 +39,14 @@
   readonly #runningServices = new Set<string>()
   readonly #nextAttemptMs = new Map<string, number>()
   #timer: NodeJS.Timeout | undefined
+  #startedAtMs = 0
 
   constructor (options: FailoverWatchOptions) {
     this.#options = options
   }
 
   start (): void {
+    this.#startedAtMs = this.#options.clock.readNow()
     this.#timer = setInterval(() => {
       for (const group of this.#options.listGroups()) this.#checkGroup(group)
     }, CHECK_INTERVAL_MS)
@@ -69,7 +71,7 @@
     const { service } = group
     const nowMs = this.#options.clock.readNow()
     // Another VM that had this VM revoke the primary's leadership is already replacing the primary.
-    if (this.#runningServices.has(service) || isLeadershipRevoked(group.state, nowMs)) return
+    if (this.#runningServices.has(service) || nowMs < group.state.revokedUntilMs) return
     const evidence = this.#collectEvidence(group, nowMs)
     if (evidence.unresponsiveMs >= REPORT_POLL_AFTER_MS || evidence.connectionRefusedMs > 0) this.#options.poll()
     if (nowMs < (this.#nextAttemptMs.get(service) ?? -Infinity)) return
@@ -105,6 +107,7 @@
       sinceLastResponseMs: nowMs - Math.max(state.lastResponseAtMs, health?.lastResponseAtMs ?? -Infinity, ...peerReports.map(v => v.lastResponseAtMs)),
       pendingWriteMs: Math.max(localPendingMs, ...peerReports.map(v => v.pendingWriteMs)),
       sinceAcknowledgedMs: nowMs - Math.max(state.acknowledgedAtMs, ...peerReports.map(v => v.acknowledgedAtMs)),
+      unclosedOrderMs: hasOpenOrder(state) ? nowMs - Math.max(state.revokedUntilMs, this.#startedAtMs) : null,
       leftPausedMs: this.#options.measurePausedMs(group),
       withoutPrimaryMs: group.withoutPrimarySinceMs === null ? 0 : nowMs - group.withoutPrimarySinceMs,
       isIsolated: listResponsive(members, nowMs).length === 0 && listPossiblyRunning(members, nowMs).length > 0,
--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -54,6 +54,7 @@
   }
   if (!host.claims.isUsable(attempt.claim)) return null // The checks took too long, or this VM stood still.
   const order = { service: group.service, endpoint: entry.endpoint, holder: host.vm, fencingToken: attempt.claim.fencingToken }
+  host.publishOrder(group, { endpoint: entry.endpoint, startedAtMs: openOrder.startedAtMs, replacedTerm: openOrder.replacedTerm, received: openOrder.received, epoch: attempt.claim.revision.epoch })
   const result = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
   host.logger.warn('promotion requested', { ...order, result })
   // A call without an answer may still be executed although a later one was refused.
--- a/packages/gateway/src/failover/promotion-attempt.ts
+++ b/packages/gateway/src/failover/promotion-attempt.ts
@@ -2,7 +2,7 @@
 import type { EndpointStatus } from '../backend/endpoint-connector.ts'
 import type { Promoter } from '../backend/promoter.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import type { KnownPrimary } from '../freshness/group-state.ts'
+import type { KnownOrder, KnownPrimary } from '../freshness/group-state.ts'
 import type { EndpointStart, ReportedDeparture } from '../groups/departures.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
@@ -30,6 +30,8 @@
   latestPrimary: KnownPrimary | null
   /** Primary of the latest term that any of them has known and has seen to be a replica since; `null` if none has. */
   formerPrimary: KnownPrimary | null
+  /** An order that any of them knows and that may still take effect; `null` if none does. */
+  openOrder: KnownOrder | null
   /** The group's endpoints that the other VMs know. */
   endpoints: readonly EndpointStart[]
   /** Endpoints that the other VMs have seen leave the group. */
@@ -46,6 +48,8 @@
   promoter: Promoter
   /** Has all VMs, this one included, revoke the primary's leadership: they no longer send it reads on the strength of its lease. Waits for `waitMs` at most. */
   revoke: (group: ServiceGroup, term: number, isPlanned: boolean, waitMs: number) => Promise<Revocation>
+  /** Tells all VMs, this one included, an order that is about to be sent. */
+  publishOrder: (group: ServiceGroup, order: KnownOrder) => void
   /**
    * Tells all VMs the outcome of the attempt: the endpoint that was primary at `leadershipVerifiedAtMs`, or `null` if
    * no endpoint was promoted.
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -1,7 +1,7 @@
 import { comparePositions, describeError, pickLaterPosition } from '@camphorpitch/wire'
 import { formatStart, mergeDepartures, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import type { KnownPrimary } from '../freshness/group-state.ts'
+import type { KnownOrder, KnownPrimary } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import { ensureLatestPrimary, ensureNotReplaced } from './check-leadership.ts'
@@ -44,7 +44,9 @@
   host.logger.warn('promotion started', { service: group.service, reason, oldPrimary: oldPrimary?.endpoint, term, fencingToken: claim.fencingToken, openOrder })
   let promoted: string | null = null
   try {
-    const isIntact = reason === 'replicas left paused' && openOrder === null && await isPrimaryLeading(attempt)
+    const isIntact = (reason === 'replicas left paused' || reason === 'promotion order open') && attempt.openOrder === null && await isPrimaryLeading(attempt)
+    // The other VMs accept the end of the order from the VM that has revoked the leadership last.
+    if (isIntact && reason === 'promotion order open') await host.revoke(group, attempt.replacedTerm + 1, false, REVOKE_TIMEOUT_MS)
     if (!isIntact) promoted = await promoteCandidate(attempt)
   } catch (error) {
     host.logger.error('promotion attempt failed', { service: group.service, error: describeError(error) })
@@ -60,7 +62,7 @@
   const oldPrimary = entries.find(e => e.endpoint === knownPrimary?.endpoint)
   const knownTerm = knownPrimary?.term ?? 0
   const openOrder = claim.order !== null && claim.order.replacedTerm >= knownTerm ? claim.order : null
-  return {
+  const attempt: Attempt = {
     host,
     group,
     reason,
@@ -78,6 +80,16 @@
     pendingDemotion: null,
     pendingFence: null
   }
+  adoptAnnouncedOrder(attempt, group.state.openOrder)
+  return attempt
+}
+
+/** Takes over an order that a VM knows from its announcement and that the store has lost, as it has returned from an older copy since. */
+function adoptAnnouncedOrder (attempt: Attempt, announced: KnownOrder | null): void {
+  const { host, group, claim, openOrder, replacedTerm } = attempt
+  if (announced === null || announced.epoch >= claim.revision.epoch || announced.replacedTerm < replacedTerm || openOrder?.isProven === true) return
+  host.logger.warn('promotion order taken over from its announcement, the metadata store may have lost its record', { service: group.service, announced, openOrder })
+  attempt.openOrder = { ...announced, isProven: true }
 }
 
 /** Whether the primary still leads, and no endpoint has a later term: then the replicas only need to be resumed. */
@@ -98,6 +110,7 @@
   let fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
   const fencedAtMs = host.clock.readNow()
   const revocation = await pendingRevocation
+  adoptAnnouncedOrder(attempt, revocation.openOrder)
   ensureLatestPrimary(attempt, revocation.latestPrimary, fenced.endpoints)
   const unknownReplicas = mergeEndpoints(attempt, revocation)
   let fencedDepartures = await fenceDepartures(attempt)
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -3,7 +3,7 @@
 import type { ClaimInquiries } from '../failover/claim-inquiries.ts'
 import type { FailoverWatch } from '../failover/failover-watch.ts'
 import type { PromotionHost, Revocation } from '../failover/promotion-attempt.ts'
-import { isLeadershipRevoked, recordLeadership, restoreLeadership } from '../freshness/group-state.ts'
+import { isLeadershipRevoked, recordLeadership, recordOpenOrder, restoreLeadership } from '../freshness/group-state.ts'
 import { listUncovered, type EndpointStart, type ReportedDeparture } from '../groups/departures.ts'
 import type { GroupTable } from '../groups/group-table.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
@@ -22,6 +22,8 @@
 /** Longest wait for writes in flight to a primary that is about to step down. */
 const WRITE_COMPLETION_TIMEOUT_MS = 500
 
+type PromotionMessage = Extract<FleetMessage, { type: 'revoke' | 'revoked' | 'ordered' | 'promoted' }>
+
 export interface FleetMessageHandlerOptions {
   clock: Clock
   logger: Logger
@@ -86,9 +88,14 @@
     }
   }
 
-  createPromotionCallbacks (): Pick<PromotionHost, 'revoke' | 'publishOutcome'> {
+  createPromotionCallbacks (): Pick<PromotionHost, 'revoke' | 'publishOrder' | 'publishOutcome'> {
     return {
       revoke: async (group, term, isPlanned, waitMs) => await this.#revokeLeadershipOnAllVms(group, term, isPlanned, waitMs),
+      publishOrder: (group, order) => {
+        const message = { type: 'ordered' as const, service: group.service, order }
+        for (const vm of this.#options.members.members.keys()) this.#fleet?.send(vm, message)
+        this.#handleOrder(this.#options.self.vm, message)
+      },
       publishOutcome: (group, endpoint, term, leadershipVerifiedAtMs) => this.#publishPromotionOutcome(group, endpoint, term, leadershipVerifiedAtMs)
     }
   }
@@ -131,15 +138,18 @@
   }
 
   #handleMessage (vm: string, message: Exclude<FleetMessage, ClaimsWanted | ClaimsReported>): void {
-    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null, formerPrimary: message.formerPrimary ?? null, endpoints: message.endpoints, departures: message.departures, lastCommitAgeMs: message.lastCommitAgeMs ?? Infinity, uptimeMs: message.uptimeMs })
-    else if (message.type === 'promoted') this.#handlePromotionOutcome(vm, message)
-    else if (message.type === 'permit') this.#fleet?.send(vm, this.#options.quotas.decidePermit(message))
+    if (message.type === 'permit') this.#fleet?.send(vm, this.#options.quotas.decidePermit(message))
+    else if (message.type === 'permitted') this.#permits?.handleResponse(vm, message)
     else if (message.type === 'configurationWanted') this.#sendConfiguration(vm)
     else if (message.type === 'configurationOffered') this.#options.configuration.apply(message.configuration, `vm ${vm}`)
-    else if (message.type === 'permitted') this.#permits?.handleResponse(vm, message)
-    else if (message.type === 'revoke') {
-      this.#handleRevoke(vm, message).catch((error: unknown) => this.#options.logger.error('leadership revocation failed', { error: String(error) }))
-    }
+    else if (message.type === 'revoked' || message.type === 'ordered' || message.type === 'promoted' || message.type === 'revoke') this.#handlePromotionMessage(vm, message)
+  }
+
+  #handlePromotionMessage (vm: string, message: PromotionMessage): void {
+    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null, formerPrimary: message.formerPrimary ?? null, openOrder: message.openOrder ?? null, endpoints: message.endpoints, departures: message.departures, lastCommitAgeMs: message.lastCommitAgeMs ?? Infinity, uptimeMs: message.uptimeMs })
+    else if (message.type === 'ordered') this.#handleOrder(vm, message)
+    else if (message.type === 'promoted') this.#handlePromotionOutcome(vm, message)
+    else this.#handleRevoke(vm, message).catch((error: unknown) => this.#options.logger.error('leadership revocation failed', { error: String(error) }))
   }
 
   #sendConfiguration (vm: string): void {
@@ -164,6 +174,7 @@
       acknowledged: group?.state.acknowledged ?? undefined,
       primary: group?.state.primary ?? undefined,
       formerPrimary: group?.formerPrimary ?? undefined,
+      openOrder: group?.state.openOrder ?? undefined,
       ...listEndpointStarts(group, endpoint),
       lastCommitAgeMs: lastCommitSentAtMs === -Infinity ? undefined : nowMs - lastCommitSentAtMs,
       uptimeMs: nowMs - this.#startedAtMs
@@ -187,7 +198,7 @@
     this.#revokingVms.set(group.service, self.vm)
     await this.#revokeLocalLeadership(group, endpoint, term, isPlanned)
     const { acknowledged, primary, lastCommitSentAtMs } = group.state
-    const revocation = addConfirmation(await confirmations, { acknowledged, primary, formerPrimary: group.formerPrimary, endpoints: [], departures: [], lastCommitAgeMs: sentAtMs - lastCommitSentAtMs, uptimeMs: Infinity })
+    const revocation = addConfirmation(await confirmations, { acknowledged, primary, formerPrimary: group.formerPrimary, openOrder: group.state.openOrder, endpoints: [], departures: [], lastCommitAgeMs: sentAtMs - lastCommitSentAtMs, uptimeMs: Infinity })
     const finishedAtMs = clock.readNow()
     updateMemberLosses(this.#losses, members, finishedAtMs)
     const lastLossAtMs = Math.max(this.#losses.lastLossAtMs, finishedAtMs - revocation.uptimeMs)
@@ -195,6 +206,14 @@
     return { ...revocation, hasEveryAcknowledgement: revocation.hasEveryVmConfirmed && isEveryMemberAsked && sentAtMs - revocation.lastCommitAgeMs > lastLossAtMs }
   }
 
+  #handleOrder (vm: string, { service, order }: Extract<FleetMessage, { type: 'ordered' }>): void {
+    const group = this.#options.groups.find(service)
+    if (group === undefined) return
+    this.#options.logger.info('promotion order announced, leadership stays revoked until it is closed', { service, order, vm })
+    recordOpenOrder(group.state, order, this.#options.clock.readNow())
+    group.publishChange()
+  }
+
   #publishPromotionOutcome (group: ServiceGroup, endpoint: string | null, term: number, leadershipVerifiedAtMs: number): void {
     const message = { type: 'promoted' as const, service: group.service, endpoint: endpoint ?? undefined, term }
     for (const vm of this.#options.members.members.keys()) this.#fleet?.send(vm, message)
--- a/packages/gateway/src/fleet/message-schemas.ts
+++ b/packages/gateway/src/fleet/message-schemas.ts
@@ -95,6 +95,14 @@
   /** Whether the primary still works, so that the receiver waits for its writes in flight before it confirms. */
   isPlanned: z.boolean()
 })
+const knownOrderSchema = z.object({
+  endpoint: z.string(),
+  startedAtMs: z.number(),
+  replacedTerm: z.number().int(),
+  received: logPositionSchema,
+  epoch: z.number().int()
+})
+
 /** Confirms a revocation. */
 export const revokedSchema = z.object({
   type: z.literal('revoked'),
@@ -106,6 +114,8 @@
   primary: z.object({ endpoint: z.string(), term: z.number().int() }).optional(),
   /** The latest primary that the sender has seen to be a replica since. */
   formerPrimary: z.object({ endpoint: z.string(), term: z.number().int() }).optional(),
+  /** An order that the sender knows and that may still take effect. */
+  openOrder: knownOrderSchema.optional(),
   /** The group's endpoints that the sender knows. */
   endpoints: z.array(z.object({ endpoint: z.string(), startedAtMs: z.number() })).default([]),
   /** Endpoints that the sender has seen leave the group or restart without their logs. */
@@ -115,6 +125,12 @@
   /** Time since the sender's start. */
   uptimeMs: z.number().default(0)
 })
+/** A promoting VM announces an order that it is about to send. */
+export const orderedSchema = z.object({
+  type: z.literal('ordered'),
+  service: z.string(),
+  order: knownOrderSchema
+})
 /** A promoting VM announces the outcome of its attempt. */
 export const promotedSchema = z.object({
   type: z.literal('promoted'),
@@ -168,5 +184,5 @@
 /** A VM announces that it leaves the fleet, after it has served its last client. */
 export const leftSchema = z.object({ type: z.literal('left'), incarnation: z.number() })
 
-export const fleetMessageSchema = z.discriminatedUnion('type', [leftSchema, pollSchema, reportSchema, revokeSchema, revokedSchema, promotedSchema, permitSchema, permittedSchema, configurationWantedSchema, configurationOfferedSchema, claimsWantedSchema, claimsReportedSchema])
+export const fleetMessageSchema = z.discriminatedUnion('type', [leftSchema, pollSchema, reportSchema, revokeSchema, revokedSchema, orderedSchema, promotedSchema, permitSchema, permittedSchema, configurationWantedSchema, configurationOfferedSchema, claimsWantedSchema, claimsReportedSchema])
 export type FleetMessage = z.infer<typeof fleetMessageSchema>
--- a/packages/gateway/src/fleet/revocations.ts
+++ b/packages/gateway/src/fleet/revocations.ts
@@ -1,6 +1,6 @@
 import { pickLaterPosition, type LogPosition } from '@camphorpitch/wire'
 import type { Revocation } from '../failover/promotion-attempt.ts'
-import type { KnownPrimary } from '../freshness/group-state.ts'
+import type { KnownOrder, KnownPrimary } from '../freshness/group-state.ts'
 import type { EndpointStart, ReportedDeparture } from '../groups/departures.ts'
 
 /** What a VM knows of a group when it confirms a revocation. */
@@ -10,6 +10,8 @@
   primary: KnownPrimary | null
   /** The latest primary that the VM has seen to be a replica since. */
   formerPrimary: KnownPrimary | null
+  /** An order that the VM knows and that may still take effect. */
+  openOrder: KnownOrder | null
   /** The group's endpoints that the VM knows. */
   endpoints: readonly EndpointStart[]
   departures: readonly ReportedDeparture[]
@@ -33,12 +35,13 @@
 }
 
 /** Adds what a VM knows to what the others have confirmed with. */
-export function addConfirmation<T extends Omit<Confirmations, 'hasEveryVmConfirmed'>> (revocation: T, { acknowledged, primary, formerPrimary, endpoints, departures, lastCommitAgeMs, uptimeMs }: Confirmation): T {
+export function addConfirmation<T extends Omit<Confirmations, 'hasEveryVmConfirmed'>> (revocation: T, { acknowledged, primary, formerPrimary, openOrder, endpoints, departures, lastCommitAgeMs, uptimeMs }: Confirmation): T {
   return {
     ...revocation,
     acknowledged: acknowledged === null ? revocation.acknowledged : pickLaterPosition(revocation.acknowledged, acknowledged),
     latestPrimary: pickLaterPrimary(revocation.latestPrimary, primary),
     formerPrimary: pickLaterPrimary(revocation.formerPrimary, formerPrimary),
+    openOrder: (openOrder?.replacedTerm ?? -1) > (revocation.openOrder?.replacedTerm ?? -1) ? openOrder : revocation.openOrder,
     endpoints: [...revocation.endpoints, ...endpoints],
     departures: [...revocation.departures, ...departures],
     lastCommitAgeMs: Math.min(revocation.lastCommitAgeMs, lastCommitAgeMs),
@@ -56,7 +59,7 @@
 
   /** Waits until all VMs have confirmed an attempt, at most for `waitMs` milliseconds. */
   async collect (attempt: string, vms: readonly string[], waitMs: number): Promise<Confirmations> {
-    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, latestPrimary: null, formerPrimary: null, endpoints: [], departures: [], lastCommitAgeMs: Infinity, uptimeMs: Infinity, finish: () => {} }
+    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, latestPrimary: null, formerPrimary: null, openOrder: null, endpoints: [], departures: [], lastCommitAgeMs: Infinity, uptimeMs: Infinity, finish: () => {} }
     this.#pending.set(attempt, revocation)
     await new Promise<void>(resolve => {
       const timer = setTimeout(resolve, waitMs)
--- a/packages/gateway/src/freshness/group-state.test.ts
+++ b/packages/gateway/src/freshness/group-state.test.ts
@@ -1,6 +1,6 @@
 import { createSeededRandom, type LogPosition } from '@camphorpitch/wire'
 import { expect } from 'chai'
-import { addSample, createGroupState, findRequiredPosition, hasLeadershipLease, isPrimaryFresh, LEADER_LEASE_MS, readCommitLeaseEndMs, recordPrimaryResponse, recordCommit, recordLeadership, restoreLeadership, revokeLeadership, MAX_REVOCATION_MS, updatePrimary, type GroupState } from './group-state.ts'
+import { addSample, createGroupState, findRequiredPosition, hasLeadershipLease, isPrimaryFresh, LEADER_LEASE_MS, readCommitLeaseEndMs, recordPrimaryResponse, recordCommit, recordLeadership, recordOpenOrder, restoreLeadership, revokeLeadership, MAX_REVOCATION_MS, updatePrimary, type GroupState } from './group-state.ts'
 
 const at = (index: number, term = 1): LogPosition => ({ term, index })
 
@@ -103,6 +103,26 @@
     expect(isPrimaryFresh(state, 0, 2_000 + MAX_REVOCATION_MS + 1)).to.equal(true)
   })
 
+  it('accepts no proof of leadership while an order is open, until it is closed or an endpoint leads at a later term', () => {
+    const order = { endpoint: 'b', startedAtMs: 5, replacedTerm: 1, received: at(5), epoch: 0 }
+    const state = createLedState()
+    revokeLeadership(state, 'a', 2, 1_000)
+    recordOpenOrder(state, order, 1_200)
+    const afterMs = 1_000 + 2 * MAX_REVOCATION_MS
+    recordLeadership(state, 'a', afterMs)
+    expect(hasLeadershipLease(state, 'a', afterMs + 1)).to.equal(false)
+    restoreLeadership(state)
+    recordLeadership(state, 'a', afterMs)
+    expect(hasLeadershipLease(state, 'a', afterMs + 1)).to.equal(true)
+    recordOpenOrder(state, order, afterMs + 2)
+    expect(hasLeadershipLease(state, 'a', afterMs + 3)).to.equal(false)
+    updatePrimary(state, 'b', 2)
+    recordLeadership(state, 'b', afterMs + 4)
+    expect(hasLeadershipLease(state, 'b', afterMs + 5)).to.equal(true)
+    recordOpenOrder(state, order, afterMs + 6)
+    expect(hasLeadershipLease(state, 'b', afterMs + 7), 'an order that has taken effect').to.equal(true)
+  })
+
   it('drops positions of the old primary when a newer one leads, and ignores an older term', () => {
     const state = createLedState()
     recordLeadership(state, 'a', 1_000)
--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -19,6 +19,19 @@
   term: number
 }
 
+/** A promotion order that may have been sent and may still take effect, as its VM has told it. */
+export interface KnownOrder {
+  endpoint: string
+  /** Start of the endpoint; once it has started again, the order no longer takes effect. */
+  startedAtMs: number
+  /** Term of the primary that it replaces; the order has taken effect once an endpoint leads at a later term. */
+  replacedTerm: number
+  /** End of the endpoint's log then. */
+  received: LogPosition
+  /** Epoch of the store in which it was recorded; a later one may be that of a copy without the record. */
+  epoch: number
+}
+
 /** Every write acknowledged before `atMs` lies at or before `position`. */
 export interface Sample { atMs: number, position: LogPosition }
 
@@ -52,11 +65,13 @@
   revokedTerm: number
   /** Whether the primary is asked to step down before another endpoint is promoted. */
   isRevocationPlanned: boolean
+  /** An order that may still take effect. While there is one, a revocation does not lapse. */
+  openOrder: KnownOrder | null
 }
 
 /** @example createGroupState('orders') */
 export function createGroupState (service: string): GroupState {
-  return { service, primary: null, leadershipLeaseEndsMs: -Infinity, completionEndsMs: -Infinity, verifiedAtMs: -Infinity, replicaStartNoticedAtMs: -Infinity, samples: [], acknowledged: null, acknowledgedAtMs: -Infinity, lastCommitSentAtMs: -Infinity, lastResponseAtMs: -Infinity, revokedUntilMs: -Infinity, revokedTerm: 0, isRevocationPlanned: false }
+  return { service, primary: null, leadershipLeaseEndsMs: -Infinity, completionEndsMs: -Infinity, verifiedAtMs: -Infinity, replicaStartNoticedAtMs: -Infinity, samples: [], acknowledged: null, acknowledgedAtMs: -Infinity, lastCommitSentAtMs: -Infinity, lastResponseAtMs: -Infinity, revokedUntilMs: -Infinity, revokedTerm: 0, isRevocationPlanned: false, openOrder: null }
 }
 
 /**
@@ -87,6 +102,7 @@
   state.completionEndsMs = -Infinity
   state.lastResponseAtMs = -Infinity
   if (state.primary === null || state.primary.term >= state.revokedTerm) state.revokedUntilMs = -Infinity
+  if (!hasOpenOrder(state)) state.openOrder = null
 }
 
 /**
@@ -94,7 +110,7 @@
  * expired. Ignored for times before the end of a revocation.
  */
 export function recordLeadership (state: GroupState, endpoint: string, atMs: number): void {
-  if (atMs < state.revokedUntilMs || state.primary?.endpoint !== endpoint) return
+  if (atMs < state.revokedUntilMs || hasOpenOrder(state) || state.primary?.endpoint !== endpoint) return
   state.leadershipLeaseEndsMs = Math.max(state.leadershipLeaseEndsMs, atMs + LEADER_LEASE_MS)
 }
 
@@ -169,11 +185,32 @@
 /** Ends a revocation after a promotion that promoted no endpoint, so that leadership can be verified again. */
 export function restoreLeadership (state: GroupState): void {
   state.revokedUntilMs = -Infinity
+  state.openOrder = null
+}
+
+/**
+ * Records an order that another VM is about to send: nothing ends the revocation but the order's end, as an order cannot be called back
+ * although its VM may stop. Ignored if it has taken effect.
+ *
+ * @example recordOpenOrder(state, { endpoint: 'orders-2', startedAtMs: 1700000000000, replacedTerm: 6, received: { term: 6, index: 120 }, epoch: 0 }, nowMs)
+ */
+export function recordOpenOrder (state: GroupState, order: KnownOrder, nowMs: number): void {
+  const { primary, openOrder } = state
+  const isClosed = primary !== null && primary.term > order.replacedTerm
+  if (isClosed || (openOrder !== null && openOrder.replacedTerm > order.replacedTerm)) return
+  state.openOrder = order
+  state.revokedTerm = Math.max(state.revokedTerm, order.replacedTerm + 1)
+  state.leadershipLeaseEndsMs = Math.min(state.leadershipLeaseEndsMs, nowMs)
+}
+
+/** Whether an order is known that may still take effect. */
+export function hasOpenOrder ({ openOrder, primary }: GroupState): boolean {
+  return openOrder !== null && (primary === null || primary.term <= openOrder.replacedTerm)
 }
 
 /** Whether the primary's leadership is revoked because a promotion is in progress. */
 export function isLeadershipRevoked (state: GroupState, nowMs: number): boolean {
-  return nowMs < state.revokedUntilMs
+  return nowMs < state.revokedUntilMs || hasOpenOrder(state)
 }
 
 /** Whether the endpoint is the known primary and its leadership is verified and not revoked. */
