--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -22,7 +22,11 @@
   /** End of the endpoint's log then; a shorter log shows that it has started again. */
   received: z.object({ term: z.number(), index: z.number() }),
   /** Whether the choice of the endpoint still stands: the record was not read from an older copy of the store, after which it may have been cleared. */
-  isProven: z.boolean().default(true)
+  isProven: z.boolean().default(true),
+  /** Whether the platform has accepted it. Another call could take effect on its own, after the endpoint was replaced again. */
+  isAccepted: z.boolean().default(false),
+  /** Number of times that a VM has waited in vain for its effect. */
+  waits: z.number().default(0)
 })
 
 const formerPrimarySchema = z.object({
@@ -123,7 +127,7 @@
    *
    * @returns the claim to use, with a new fencing token; `null` if the claim is no longer usable
    * @throws MetadataError if the store did not respond; the order may have been recorded
-   * @example claim = await claims.recordOrder(claim, { endpoint: 'orders-2', startedAtMs: 1700000000000, replacedTerm: 6, isProven: true, received: { term: 6, index: 120 } })
+   * @example claim = await claims.recordOrder(claim, { endpoint: 'orders-2', startedAtMs: 1700000000000, replacedTerm: 6, isProven: true, isAccepted: false, waits: 0, received: { term: 6, index: 120 } })
    */
   async recordOrder (claim: Claim, order: OpenOrder): Promise<Claim | null> {
     return this.isUsable(claim) ? await this.#write(claim.service, claim, { order, formerPrimary: null }) : null
--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -1,4 +1,4 @@
-import { comparePositions, type LogPosition } from '@camphorpitch/wire'
+import { comparePositions, describeError, type LogPosition } from '@camphorpitch/wire'
 import type { EndpointConnection, EndpointStatus } from '../backend/endpoint-connector.ts'
 import type { PromotionResult } from '../backend/promoter.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
@@ -14,6 +14,8 @@
 const PROMOTE_TIMEOUT_MS = 700
 /** An order that has not taken effect after this long is sent again, unless it was accepted. */
 const PROMOTION_EFFECT_TIMEOUT_MS = 3_500
+/** An accepted order takes effect within some hundred ms. One that has not after so many waits is sent again. */
+const MAX_ACCEPTED_WAITS = 8
 /** Number of times that an attempt waits for the effect of its order; another VM may reach the promoter better. */
 const MAX_EFFECT_WAITS = 2
 
@@ -26,15 +28,16 @@
   const { host, group, replicas, oldPrimary } = attempt
   const entry = [...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].find(e => e.endpoint === endpoint)
   if (entry === undefined) return null
-  const openOrder = { endpoint, startedAtMs: entry.startedAtMs, replacedTerm: attempt.replacedTerm, received, isProven: true }
+  const openOrder = { endpoint, startedAtMs: entry.startedAtMs, replacedTerm: attempt.replacedTerm, received, isProven: true, isAccepted: false, waits: 0 }
   // A second call for an order that was accepted might take effect on its own, after the endpoint was replaced again.
-  const isInherited = isSameOrder(attempt.openOrder, openOrder)
-  let isAccepted = false
+  const inherited = isSameOrder(attempt.openOrder, openOrder) ? attempt.openOrder : null
+  let isAccepted = inherited?.isAccepted === true && inherited.waits < MAX_ACCEPTED_WAITS
   for (let waits = 1; waits <= MAX_EFFECT_WAITS; waits++) {
-    const isSent = isAccepted || (isInherited && waits === 1)
+    const isSent = isAccepted || (inherited !== null && waits === 1)
     if (!isSent) isAccepted = await sendOrder(attempt, entry, openOrder, fenced) === 'accepted'
     if (!isSameOrder(attempt.openOrder, openOrder)) return null
     if (await waitForEffect(attempt, entry)) return endpoint
+    if (attempt.openOrder !== null) attempt.openOrder = { ...attempt.openOrder, waits: attempt.openOrder.waits + 1 }
     const { latestPrimary } = await host.revoke(group, attempt.replacedTerm + 1, false, REVOKE_TIMEOUT_MS)
     ensureLatestPrimary(attempt, latestPrimary, fenced)
   }
@@ -58,7 +61,8 @@
   const result = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
   host.logger.warn('promotion requested', { ...order, result })
   // A call without an answer may still be executed although a later one was refused.
-  if (result === 'accepted' || result === 'unknown') attempt.openOrder = openOrder
+  if (result === 'accepted' || result === 'unknown') attempt.openOrder = { ...openOrder, isAccepted: result === 'accepted' }
+  if (result === 'accepted') await recordAcceptance(attempt)
   return result
 }
 
@@ -94,6 +98,16 @@
   return true
 }
 
+/** Records that the order was accepted, so that the next VM that claims the duty does not send it again. A failure is only logged. */
+async function recordAcceptance (attempt: Attempt): Promise<void> {
+  const { host, group, claim, openOrder } = attempt
+  try {
+    attempt.claim = await host.claims.recordOrder(claim, openOrder!) ?? claim
+  } catch (error) {
+    host.logger.info('acceptance of the promotion order not recorded', { service: group.service, openOrder, reason: describeError(error) })
+  }
+}
+
 function isSameOrder (a: OpenOrder | null, b: OpenOrder | null): boolean {
   return a?.endpoint === b?.endpoint && a?.startedAtMs === b?.startedAtMs && a?.replacedTerm === b?.replacedTerm && a?.isProven === b?.isProven
 }
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -89,7 +89,7 @@
   const { host, group, claim, openOrder, replacedTerm } = attempt
   if (announced === null || announced.epoch >= claim.revision.epoch || announced.replacedTerm < replacedTerm || openOrder?.isProven === true) return
   host.logger.warn('promotion order taken over from its announcement, the metadata store may have lost its record', { service: group.service, announced, openOrder })
-  attempt.openOrder = { ...announced, isProven: true }
+  attempt.openOrder = { ...announced, isProven: true, isAccepted: false, waits: 0 }
 }
 
 /** Whether the primary still leads, and no endpoint has a later term: then the replicas only need to be resumed. */
@@ -216,7 +216,7 @@
   if (!await ensureClaim(attempt)) return
   if (attempt.openOrder !== null) {
     host.logger.warn('promotion attempt ended, its order may still take effect and the group stays fenced', { service: group.service, openOrder: attempt.openOrder, term })
-    await host.claims.release(attempt.claim)
+    await host.claims.release({ ...attempt.claim, order: attempt.openOrder })
     return
   }
   if (promoted === null) {
