--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -4,6 +4,7 @@
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import { createGroupState, hasLeadershipLease, isLeadershipRevoked, readCommitLeaseEndMs, recordPrimaryResponse, recordCommit, revokeLeadership, updatePrimary, type GroupState, type KnownPrimary } from '../freshness/group-state.ts'
 import type { ConnectionLimits } from '../pool/connection-plan.ts'
+import type { PressureOptions } from '../pool/connection-pressure.ts'
 import { recordAbandoned, recordResponse, recordSent, recordNoResponse } from '../pool/endpoint-health.ts'
 import { EndpointPool } from '../pool/endpoint-pool.ts'
 import { waitAtMost } from '../runtime/wait-at-most.ts'
@@ -20,6 +21,8 @@
   readLimits: (group: ServiceGroup, entry: EndpointEntry) => ConnectionLimits
   /** Called for each connection that is opened to an endpoint. */
   recordOpened: () => void
+  /** How pools behave at an endpoint that refuses connections. */
+  pressure?: PressureOptions
   /** Called if an endpoint has left the group, or if the log ends of departures have become unknown. */
   handleDeparture?: (group: ServiceGroup) => void
 }
@@ -138,7 +141,7 @@
 
   /** Adds or updates a registered endpoint. An endpoint with a new address gets a new pool. */
   updateEntry (entry: EndpointEntry): void {
-    const { clock, connector, logger, readLimits, recordOpened } = this.#options
+    const { clock, connector, logger, readLimits, recordOpened, pressure } = this.#options
     const pool = this.pools.get(entry.endpoint)
     if (pool !== undefined && pool.entry.startedAtMs !== entry.startedAtMs) this.#addDeparture({ ...describeDeparted(pool), isGone: true })
     if (pool?.entry.startedAtMs !== entry.startedAtMs) this.state.replicaStartNoticedAtMs = clock.readNow()
@@ -146,7 +149,7 @@
     if (pool !== undefined && pool.entry.address === entry.address) pool.updateEntry(entry)
     else {
       pool?.stop()
-      this.pools.set(entry.endpoint, new EndpointPool({ entry, connector, clock, logger, recordOpened, readLimits: e => readLimits(this, e) }))
+      this.pools.set(entry.endpoint, new EndpointPool({ entry, connector, clock, logger, recordOpened, pressure, readLimits: e => readLimits(this, e) }))
     }
     if (entry.role === 'primary' && this.state.primary === null && entry.endpoint !== this.formerPrimary?.endpoint) this.adoptPrimary(entry.endpoint, 0, 'registered')
     this.#publishChange()
--- a/packages/gateway/src/pool/connection-plan.test.ts
+++ b/packages/gateway/src/pool/connection-plan.test.ts
@@ -1,6 +1,7 @@
 import { createSeededRandom } from '@camphorpitch/wire'
 import { expect } from 'chai'
-import { EXCESS_IDLE_TIMEOUT_MS, planConnections, type ConnectionSlot, type ConnectionRequest } from './connection-plan.ts'
+import { planConnections, type ConnectionSlot, type ConnectionRequest } from './connection-plan.ts'
+import { EXCESS_IDLE_TIMEOUT_MS } from './connection-pressure.ts'
 
 const connectionLimits = { retainedConnections: 2, maxOpenConnections: 3 }
 
--- a/packages/gateway/src/pool/connection-plan.ts
+++ b/packages/gateway/src/pool/connection-plan.ts
@@ -1,3 +1,5 @@
+import { EXCESS_IDLE_TIMEOUT_MS } from './connection-pressure.ts'
+
 /** State of one connection to an endpoint, as far as planning needs it. */
 export interface ConnectionSlot {
   id: number
@@ -26,6 +28,8 @@
   retainedConnections: number
   /** Maximum number of open connections, including those being opened. */
   maxOpenConnections: number
+  /** Idle time after which a connection is closed while more than `retainedConnections` are open, in milliseconds. */
+  idleTimeoutMs?: number
 }
 
 export type PlannedStep =
@@ -33,9 +37,6 @@
   | { type: 'open', workspace: string }
   | { type: 'close', slot: ConnectionSlot }
 
-/** Idle time after which a connection is closed while more than `ConnectionLimits.retainedConnections` are open, in milliseconds. */
-export const EXCESS_IDLE_TIMEOUT_MS = 250
-
 /**
  * Plans which pending requests get which connections, and which connections to open or close.
  *
@@ -79,7 +80,7 @@
 }
 
 function planExcessCloses (idleSlots: ReadonlySet<ConnectionSlot>, openCount: number, limits: ConnectionLimits, nowMs: number): PlannedStep[] {
-  const closable = [...idleSlots].filter(s => nowMs - s.lastUsedAtMs >= EXCESS_IDLE_TIMEOUT_MS).sort((a, b) => a.lastUsedAtMs - b.lastUsedAtMs)
+  const closable = [...idleSlots].filter(s => nowMs - s.lastUsedAtMs >= (limits.idleTimeoutMs ?? EXCESS_IDLE_TIMEOUT_MS)).sort((a, b) => a.lastUsedAtMs - b.lastUsedAtMs)
   return closable.slice(0, Math.max(0, openCount - limits.retainedConnections)).map(slot => ({ type: 'close', slot }))
 }
 
--- /dev/null
+++ b/packages/gateway/src/pool/connection-pressure.ts
@@ -0,0 +1,40 @@
+/** Backoff after the first refusal in a row, in milliseconds; it doubles with each further one. */
+const FIRST_BACKOFF_MS = 30
+/** Idle time after which a connection is closed that this VM does not retain, in milliseconds. */
+export const EXCESS_IDLE_TIMEOUT_MS = 250
+/** Time for which an endpoint counts as pressed after it has refused a connection, in milliseconds. */
+const PRESSED_FOR_MS = 1_000
+
+export interface PressureOptions {
+  /** Longest backoff between two attempts at an endpoint that refuses connections, in milliseconds. */
+  maxBackoffMs?: number
+  /** Idle time after which a connection to a pressed endpoint is closed: other VMs, or other workspaces, wait for its place. */
+  pressedIdleTimeoutMs?: number
+}
+
+/** How one endpoint refuses connections of this VM because it has too many. Times are on this VM's clock, in milliseconds. */
+export interface ConnectionPressure extends Required<PressureOptions> {
+  /** Refusals since the last connection that it has accepted. */
+  refusals: number
+  lastRefusedAtMs: number
+}
+
+/** @example createConnectionPressure({ maxBackoffMs: 240 }) */
+export function createConnectionPressure ({ maxBackoffMs = 240, pressedIdleTimeoutMs = 40 }: PressureOptions = {}): ConnectionPressure {
+  return { maxBackoffMs, pressedIdleTimeoutMs, refusals: 0, lastRefusedAtMs: -Infinity }
+}
+
+/** Records that the endpoint refused a connection. @returns the time until the next attempt, in milliseconds */
+export function recordOverLimit (pressure: ConnectionPressure, nowMs: number): number {
+  pressure.lastRefusedAtMs = nowMs
+  return Math.min(pressure.maxBackoffMs, FIRST_BACKOFF_MS * 2 ** pressure.refusals++)
+}
+
+export function recordAccepted (pressure: ConnectionPressure): void {
+  pressure.refusals = 0
+}
+
+/** Returns the idle time after which a connection is closed that this VM does not retain, in milliseconds. */
+export function readIdleTimeoutMs ({ lastRefusedAtMs, pressedIdleTimeoutMs }: ConnectionPressure, nowMs: number): number {
+  return nowMs - lastRefusedAtMs < PRESSED_FOR_MS ? pressedIdleTimeoutMs : EXCESS_IDLE_TIMEOUT_MS
+}
--- a/packages/gateway/src/pool/endpoint-pool.ts
+++ b/packages/gateway/src/pool/endpoint-pool.ts
@@ -2,15 +2,14 @@
 import type { EndpointConnector } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError, EndpointRefusedError } from '../backend/errors.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { EXCESS_IDLE_TIMEOUT_MS, planConnections, type ConnectionLimits, type ConnectionSlot, type PlannedStep, type ConnectionRequest } from './connection-plan.ts'
+import { planConnections, type ConnectionLimits, type ConnectionSlot, type PlannedStep, type ConnectionRequest } from './connection-plan.ts'
+import { createConnectionPressure, readIdleTimeoutMs, recordAccepted, recordOverLimit, type ConnectionPressure, type PressureOptions } from './connection-pressure.ts'
 import { createHealth, recordConnected, recordRefused, recordSent, recordNoResponse, type EndpointHealth } from './endpoint-health.ts'
 import { PoolError, type PoolRefusal } from './errors.ts'
 import { PooledConnection } from './pooled-connection.ts'
 
 /** Timeout of a connection attempt, in milliseconds. Opening a connection across regions takes tens of milliseconds. */
 const CONNECT_TIMEOUT_MS = 900
-/** Backoff after the endpoint refused a connection because it has too many, in milliseconds. */
-const CONNECTION_LIMIT_BACKOFF_MS = 30
 /** Backoff after a failed connection attempt, in milliseconds. */
 const CONNECT_FAILURE_BACKOFF_MS = 200
 
@@ -43,6 +42,8 @@
   readLimits: (entry: EndpointEntry) => ConnectionLimits
   /** Called for each connection attempt, for the metrics. */
   recordOpened: () => void
+  /** How the pool behaves at an endpoint that refuses connections. */
+  pressure?: PressureOptions
 }
 
 /** A place in the pool; `connection` is `null` while the connection is being opened. */
@@ -64,11 +65,13 @@
   #lastId = 0
   /** End of the backoff after a failed connection attempt. */
   #nextOpenAllowedAtMs = -Infinity
+  readonly #pressure: ConnectionPressure
   #isStopped = false
 
   constructor (options: EndpointPoolOptions) {
     this.entry = options.entry
     this.#options = options
+    this.#pressure = createConnectionPressure(options.pressure)
     this.updateEntry(options.entry)
   }
 
@@ -125,7 +128,7 @@
     slot.session = connection.session
     slot.lastUsedAtMs = this.#options.clock.readNow()
     this.runPlan()
-    this.#schedulePlan(EXCESS_IDLE_TIMEOUT_MS)
+    this.#schedulePlan(readIdleTimeoutMs(this.#pressure, slot.lastUsedAtMs))
   }
 
   /** Plans and carries out the next steps. Called on every change, when a backoff or idle timeout ends, and periodically. */
@@ -134,7 +137,7 @@
     const nowMs = clock.readNow()
     const requests = [...this.#pendingRequests.values()].map(pending => pending.request)
     const canOpen = nowMs >= this.#nextOpenAllowedAtMs && !this.#isStopped
-    for (const step of planConnections([...this.#slots.values()], requests, readLimits(this.entry), canOpen, nowMs)) this.#runStep(step)
+    for (const step of planConnections([...this.#slots.values()], requests, { ...readLimits(this.entry), idleTimeoutMs: readIdleTimeoutMs(this.#pressure, nowMs) }, canOpen, nowMs)) this.#runStep(step)
   }
 
   /** Rejects pending and further requests. Closes idle connections now and the others when they are released. */
@@ -168,6 +171,7 @@
     recordOpened()
     connector.connect({ endpoint, service, address, workspace }, CONNECT_TIMEOUT_MS).then(connection => {
       recordConnected(this.health, clock.readNow())
+      recordAccepted(this.#pressure)
       slot.connection = new PooledConnection(slot.id, endpoint, connection)
       slot.state = 'idle'
       slot.lastUsedAtMs = clock.readNow()
@@ -198,8 +202,9 @@
       return this.#rejectAllRequests('unreachable', 'another service answers at the address')
     }
     for (const [id, { canUseOtherEndpoint }] of [...this.#pendingRequests]) if (canUseOtherEndpoint) this.#rejectRequest(id, 'busy', 'the endpoint accepts no more connections')
-    this.#nextOpenAllowedAtMs = nowMs + CONNECTION_LIMIT_BACKOFF_MS
-    this.#schedulePlan(CONNECTION_LIMIT_BACKOFF_MS)
+    const backoffMs = recordOverLimit(this.#pressure, nowMs)
+    this.#nextOpenAllowedAtMs = nowMs + backoffMs
+    this.#schedulePlan(backoffMs)
   }
 
   #schedulePlan (afterMs: number): void {
--- /dev/null
+++ b/packages/gateway/src/testing/load/load-policies.ts
@@ -0,0 +1,4 @@
+import type { LoadOptions } from './run-load.ts'
+
+/** How an endpoint over its limit of connections was treated before: tried again every 30 ms, and no idle connection given back sooner. */
+export const steadyKnocking: LoadOptions = { pressure: { maxBackoffMs: 30, pressedIdleTimeoutMs: 250 } }
--- a/packages/gateway/src/testing/virtual-time.ts
+++ b/packages/gateway/src/testing/virtual-time.ts
@@ -14,7 +14,11 @@
   readonly #process = new AsyncLocalStorage<SimulatedProcess | undefined>()
   #nowMs = 0
   #lastId = 0
+  /** Timers of processes, which may stand still. */
   readonly #timers = new Map<number, PendingTimer>()
+  /** Timers that belong to no process, in their order, with those among them that were cleared. */
+  readonly #ownerless = new TimerHeap()
+  readonly #pendingOwnerless = new Map<number, PendingTimer>()
   readonly #originals = { setTimeout: globalThis.setTimeout, clearTimeout: globalThis.clearTimeout, setInterval: globalThis.setInterval, clearInterval: globalThis.clearInterval, now: Date.now }
 
   override readNow (): number { return this.#nowMs }
@@ -24,7 +28,7 @@
     Date.now = () => startMs + this.#nowMs
     globalThis.setTimeout = ((run: () => void, ms = 0) => this.#addTimer(++this.#lastId, run, ms)) as unknown as typeof setTimeout
     globalThis.setInterval = ((run: () => void, ms: number) => this.#addInterval(++this.#lastId, run, ms)) as unknown as typeof setInterval
-    const removeTimer = (timer: { id: number } | undefined): void => { if (timer !== undefined) this.#timers.delete(timer.id) }
+    const removeTimer = (timer: { id: number } | undefined): void => { if (timer !== undefined) this.#removeTimer(timer.id) }
     globalThis.clearTimeout = removeTimer as unknown as typeof clearTimeout
     globalThis.clearInterval = removeTimer as unknown as typeof clearInterval
   }
@@ -64,7 +68,7 @@
       await new Promise(resolve => setImmediate(resolve))
       const next = this.#findNext(endMs)
       if (next === undefined) break
-      this.#timers.delete(next.id)
+      this.#removeTimer(next.id)
       this.#nowMs = Math.max(this.#nowMs, computeDueMs(next))
       if (next.process === undefined) next.run()
       else this.runAs(next.process, next.run)
@@ -73,16 +77,29 @@
   }
 
   #findNext (endMs: number): PendingTimer | undefined {
-    let next: PendingTimer | undefined
+    while (this.#ownerless.first !== undefined && this.#pendingOwnerless.get(this.#ownerless.first.id) !== this.#ownerless.first) this.#ownerless.removeFirst()
+    let next = this.#ownerless.first
+    if (next !== undefined && next.atMs > endMs) next = undefined
     for (const timer of this.#timers.values()) if (computeDueMs(timer) <= endMs && (next === undefined || compareTimers(timer, next) < 0)) next = timer
     return next
   }
 
   #addTimer (id: number, run: () => void, ms: number): object {
-    this.#timers.set(id, { atMs: this.#nowMs + ms, id, process: this.currentProcess, run })
+    const process = this.currentProcess
+    const timer = { atMs: this.#nowMs + ms, id, process, run }
+    if (process !== undefined) this.#timers.set(id, timer)
+    else {
+      this.#ownerless.insert(timer)
+      this.#pendingOwnerless.set(id, timer)
+    }
     return { id, unref: () => {}, ref: () => {} }
   }
 
+  #removeTimer (id: number): void {
+    this.#timers.delete(id)
+    this.#pendingOwnerless.delete(id)
+  }
+
   #addInterval (id: number, run: () => void, ms: number): object {
     return this.#addTimer(id, () => {
       this.#addInterval(id, run, ms)
@@ -91,6 +108,43 @@
   }
 }
 
+/** A binary heap of timers, the next one first. */
+class TimerHeap {
+  readonly #timers: PendingTimer[] = []
+
+  get first (): PendingTimer | undefined {
+    return this.#timers[0]
+  }
+
+  insert (timer: PendingTimer): void {
+    const timers = this.#timers
+    let index = timers.push(timer) - 1
+    while (index > 0) {
+      const parent = (index - 1) >> 1
+      if (compareTimers(timers[parent]!, timer) <= 0) break
+      timers[index] = timers[parent]!
+      index = parent
+    }
+    timers[index] = timer
+  }
+
+  removeFirst (): void {
+    const timers = this.#timers
+    const last = timers.pop()
+    if (last === undefined || timers.length === 0) return
+    let index = 0
+    for (;;) {
+      let child = 2 * index + 1
+      if (child >= timers.length) break
+      if (child + 1 < timers.length && compareTimers(timers[child + 1]!, timers[child]!) < 0) child++
+      if (compareTimers(last, timers[child]!) <= 0) break
+      timers[index] = timers[child]!
+      index = child
+    }
+    timers[index] = last
+  }
+}
+
 function computeDueMs ({ atMs, process }: PendingTimer): number {
   return Math.max(atMs, process?.frozenUntilMs ?? -Infinity)
 }
