--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -25,6 +25,7 @@
 import type { MetadataStore } from './metadata/metadata-store.ts'
 import { reportEpochs } from './metadata/report-epochs.ts'
 import { watchKind } from './metadata/watch-kind.ts'
+import { computeWatchMs } from './metadata/watch-times.ts'
 import { ClientSession } from './sessions/client-session.ts'
 import { GatewaySessionHost } from './sessions/gateway-session-host.ts'
 import type { GatewaySettings } from './settings.ts'
@@ -33,6 +34,8 @@
 
 /** Pause between two watches of the endpoints: the entries of a group change together, and each change goes to every VM. */
 const ENDPOINTS_WATCH_PAUSE_MS = 250
+/** Pause while entries change all the time, as when a deployment starts: a drain takes seconds, and each watch is a call of every VM. */
+const ENDPOINTS_RAPID_PAUSE_MS = 1_000
 /**
  * Configuration versions that follow each other faster than this are fetched together: one with thousands of routes
  * takes half a second over a slow link.
@@ -177,7 +180,7 @@
   return new WsPeerNetwork({ self: hello, clock: new MonotonicClock(), logger, findAddress })
 }
 
-function startWatches ({ adapters: { store }, logger, clock, metrics, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
+function startWatches ({ settings, adapters: { store }, logger, clock, metrics, configuration, directory, groups }: GatewayComponents): Array<{ stop: () => void }> {
   const handleStoreRecovery = (): void => recordStoreRecovery(directory, clock.readNow())
   reportEpochs({ store, logger, describeState: () => ({ configurationVersion: configuration.version }) })
   store.epochs.subscribe(() => {
@@ -190,6 +193,7 @@
     kind: 'endpoints',
     handleStoreRecovery,
     pauseMs: ENDPOINTS_WATCH_PAUSE_MS,
+    rapidPauseMs: ENDPOINTS_RAPID_PAUSE_MS,
     applyListing: listing => groups.applyChanges(applyListing(directory, listing, clock.readNow())),
     applyChanges: (changes, asOf) => groups.applyChanges(applyChanges(directory, changes, asOf, clock.readNow()))
   })
@@ -197,6 +201,7 @@
     store,
     logger,
     kind: 'configuration',
+    waitMs: computeWatchMs(settings.configurationBounds),
     coalesceMs: CONFIGURATION_COALESCE_MS,
     applyListing: ({ items }) => { for (const { value, revision } of items) if (value !== null) configuration.apply(value, 'list', revision.epoch) },
     applyChanges: changes => { for (const { object } of changes) if (object.value !== null) configuration.apply(object.value, 'watch', object.revision.epoch) }
--- a/packages/gateway/src/metadata/watch-kind.test.ts
+++ b/packages/gateway/src/metadata/watch-kind.test.ts
@@ -46,6 +46,27 @@
     watch.stop()
   })
 
+  it('asks the store far less often while changes follow each other, and at once for a single one', async () => {
+    const countCalls = async (rapidPauseMs?: number): Promise<number> => {
+      const store = new MemoryStore()
+      const names = new Set<string>()
+      const watch = watchKind({ store, logger, kind: 'vms', waitMs: 5_000, pauseMs: 10, rapidPauseMs, applyListing: () => {}, applyChanges: changes => { for (const { object } of changes) names.add(object.name) } })
+      store.replace('vms', 'first', {})
+      const sentAtMs = performance.now()
+      await waitUntil(() => names.has('first'))
+      expect(performance.now() - sentAtMs).to.be.below(200)
+      for (let i = 0; i < 40; i++) {
+        store.replace('vms', `vm-${i}`, {})
+        await new Promise(resolve => setTimeout(resolve, 15))
+      }
+      await waitUntil(() => names.has('vm-39'))
+      watch.stop()
+      return store.callCount
+    }
+    const [steady, rapid] = [await countCalls(), await countCalls(300)]
+    expect(rapid).to.be.at.most(steady / 3)
+  })
+
   it('delivers far fewer values than versions in quick succession, and ends with the last version', async () => {
     const VERSION_COUNT = 40
     const store = new MemoryStore()
--- a/packages/gateway/src/metadata/watch-kind.ts
+++ b/packages/gateway/src/metadata/watch-kind.ts
@@ -18,6 +18,8 @@
   waitMs?: number
   /** Pause after each watch, in milliseconds, so that changes made at about the same time are returned together. */
   pauseMs?: number
+  /** Pause after a watch whose changes follow others within twice this time, in milliseconds: `pauseMs` by default. */
+  rapidPauseMs?: number
   /**
    * When changes follow each other within twice this time, in milliseconds, the objects are listed again after this
    * time instead of being watched: a listing transfers an object once, a watch transfers each of its versions.
@@ -105,8 +107,10 @@
   }
 
   async #pauseAfterWatch (hasChanges: boolean): Promise<void> {
-    const { pauseMs, coalesceMs = 0 } = this.#options
-    if (pauseMs !== undefined) await waitFor(pauseMs)
+    const { pauseMs = 0, rapidPauseMs = pauseMs, coalesceMs = 0 } = this.#options
+    const sinceChangeMs = this.#clock.readNow() - this.#lastChangeAtMs
+    const currentPauseMs = hasChanges && sinceChangeMs < 2 * rapidPauseMs ? rapidPauseMs : pauseMs
+    if (currentPauseMs > 0) await waitFor(currentPauseMs)
     if (!hasChanges) return
     const nowMs = this.#clock.readNow()
     const isRapidChange = nowMs - this.#lastChangeAtMs < 2 * coalesceMs
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -34,6 +34,13 @@
     /** Number of operations by which the fleet may exceed the limit in a window, in addition to `overshoot`. */
     slack: z.number().nonnegative().default(20)
   }).default({ windowS: 5, overshoot: 0.1, slack: 20 }),
+  /** Within which time the deployment expects a configuration version to be in force on every VM. */
+  configurationBounds: z.object({
+    /** Time for which a VM must have been without disruption, in milliseconds. */
+    stableWindowMs: z.number().positive().default(4_000),
+    /** Time from the store's acknowledgement of a version, in milliseconds. */
+    applyMs: z.number().positive().default(3_000)
+  }).default({ stableWindowMs: 4_000, applyMs: 3_000 }),
   /** Time between SIGTERM and the end of the process, in seconds. */
   graceS: z.number().positive().default(6),
   logLevel: z.enum(logLevelNames).default('info')
