--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -94,6 +94,14 @@
   return [...state.members.values()].filter(m => isResponsive(m, nowMs))
 }
 
+/**
+ * Lists the other VMs that are not known to be unresponsive, also those that have not been polled yet: right after a start these are most
+ * of a large fleet.
+ */
+export function listPresent (state: MemberState, nowMs: number): Member[] {
+  return [...state.members.values()].filter(m => measureUnansweredMs(m, nowMs) < VM_UNRESPONSIVE_AFTER_MS)
+}
+
 /** Whether the members are all VMs that run, as far as is known. So once all of them have answered, as one that has run for longer tells which others there are. */
 export function hasAllMembers (state: MemberState, nowMs: number): boolean {
   const all = [...state.members.values()]
--- a/packages/gateway/src/groups/group-table.ts
+++ b/packages/gateway/src/groups/group-table.ts
@@ -3,7 +3,7 @@
 import type { ConfigurationHolder } from '../configuration/configuration-holder.ts'
 import type { DirectoryChange } from '../directory/directory.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { listResponsive, type MemberState } from '../fleet/members.ts'
+import { listPresent, type MemberState } from '../fleet/members.ts'
 import type { ConnectionLimits } from '../pool/connection-plan.ts'
 import { computeConnectionShare } from '../pool/connection-share.ts'
 import { ServiceGroup } from './service-group.ts'
@@ -72,10 +72,10 @@
     const { configuration, members, clock } = this.#options
     const service = configuration.current?.services.find(s => s.name === group.service)
     const { self } = members
-    const reachable = listResponsive(members, clock.readNow())
+    const present = listPresent(members, clock.readNow())
     const isInSameDomain = self.failureDomain === entry.failureDomain
-    const vmsInSameDomain = reachable.filter(m => m.entry.failureDomain === entry.failureDomain).length + (isInSameDomain ? 1 : 0)
+    const vmsInSameDomain = present.filter(m => m.entry.failureDomain === entry.failureDomain).length + (isInSameDomain ? 1 : 0)
     const isPrimary = group.state.primary?.endpoint === entry.endpoint
-    return computeConnectionShare({ maxConnections: service?.maxConnections ?? DEFAULT_MAX_CONNECTIONS, vms: reachable.length + 1, vmsInSameDomain, isInSameDomain, isPrimary })
+    return computeConnectionShare({ maxConnections: service?.maxConnections ?? DEFAULT_MAX_CONNECTIONS, vms: present.length + 1, vmsInSameDomain, isInSameDomain, isPrimary })
   }
 }
