--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -23,6 +23,8 @@
   recordOpened: () => void
   /** How pools behave at an endpoint that refuses connections. */
   pressure?: PressureOptions
+  /** Draws a number in [0, 1) that spreads the return times of refused clients; `Math.random` by default. */
+  random?: () => number
   /** Called if an endpoint has left the group, or if the log ends of departures have become unknown. */
   handleDeparture?: (group: ServiceGroup) => void
 }
@@ -141,7 +143,7 @@
 
   /** Adds or updates a registered endpoint. An endpoint with a new address gets a new pool. */
   updateEntry (entry: EndpointEntry): void {
-    const { clock, connector, logger, readLimits, recordOpened, pressure } = this.#options
+    const { clock, connector, logger, readLimits, recordOpened, pressure, random } = this.#options
     const pool = this.pools.get(entry.endpoint)
     if (pool !== undefined && pool.entry.startedAtMs !== entry.startedAtMs) this.#addDeparture({ ...describeDeparted(pool), isGone: true })
     if (pool?.entry.startedAtMs !== entry.startedAtMs) this.state.replicaStartNoticedAtMs = clock.readNow()
@@ -149,7 +151,7 @@
     if (pool !== undefined && pool.entry.address === entry.address) pool.updateEntry(entry)
     else {
       pool?.stop()
-      this.pools.set(entry.endpoint, new EndpointPool({ entry, connector, clock, logger, recordOpened, pressure, readLimits: e => readLimits(this, e) }))
+      this.pools.set(entry.endpoint, new EndpointPool({ entry, connector, clock, logger, recordOpened, pressure, random, readLimits: e => readLimits(this, e) }))
     }
     if (entry.role === 'primary' && this.state.primary === null && entry.endpoint !== this.formerPrimary?.endpoint) this.adoptPrimary(entry.endpoint, 0, 'registered')
     this.#publishChange()
--- a/packages/gateway/src/pool/endpoint-pool.ts
+++ b/packages/gateway/src/pool/endpoint-pool.ts
@@ -5,6 +5,7 @@
 import { planConnections, type ConnectionLimits, type ConnectionSlot, type PlannedStep, type ConnectionRequest } from './connection-plan.ts'
 import { createConnectionPressure, readIdleTimeoutMs, recordAccepted, recordOverLimit, type ConnectionPressure, type PressureOptions } from './connection-pressure.ts'
 import { createHealth, recordConnected, recordRefused, recordSent, recordNoResponse, type EndpointHealth } from './endpoint-health.ts'
+import { estimateReturnMs, type WorkInHand } from './estimate-return.ts'
 import { PoolError, type PoolRefusal } from './errors.ts'
 import { PooledConnection } from './pooled-connection.ts'
 
@@ -44,6 +45,8 @@
   recordOpened: () => void
   /** How the pool behaves at an endpoint that refuses connections. */
   pressure?: PressureOptions
+  /** Draws a number in [0, 1); `Math.random` by default. */
+  random?: () => number
 }
 
 /** A place in the pool; `connection` is `null` while the connection is being opened. */
@@ -220,7 +223,16 @@
     if (pending === undefined) return
     this.#pendingRequests.delete(id)
     clearTimeout(pending.timer)
-    pending.reject(new PoolError(reason, { props: { refusal } }))
+    const inHand = this.#readWorkInHand()
+    const retryAfterMs = estimateReturnMs(inHand, (this.#options.random ?? Math.random)())
+    // The reason leads from the refused statement's log line to what its return time was estimated from.
+    const inputs = `${inHand.waiting} waiting, ${inHand.connections} connections, ${Math.round(inHand.averageResponseMs ?? 0)} ms a response, backoff ${Math.round(inHand.backoffLeftMs)} ms`
+    pending.reject(new PoolError(`${reason} (${this.entry.endpoint}: ${inputs})`, { props: { refusal, retryAfterMs } }))
+  }
+
+  #readWorkInHand (): WorkInHand {
+    const backoffLeftMs = Math.max(0, this.#nextOpenAllowedAtMs - this.#options.clock.readNow())
+    return { waiting: this.#pendingRequests.size, connections: this.#slots.size, averageResponseMs: this.health.averageResponseMs, backoffLeftMs }
   }
 
   #closeSlot (slot: PoolSlot): void {
--- a/packages/gateway/src/pool/errors.ts
+++ b/packages/gateway/src/pool/errors.ts
@@ -6,5 +6,5 @@
  */
 export type PoolRefusal = 'busy' | 'unreachable' | 'gone'
 
-/** A pool gave no connection; `refusal` is the reason. */
-export const PoolError = BaseError.subclass('PoolError', { props: { refusal: 'busy' as PoolRefusal } })
+/** A pool gave no connection; `refusal` is the reason, and after `retryAfterMs` milliseconds there is likely to be one. */
+export const PoolError = BaseError.subclass('PoolError', { props: { refusal: 'busy' as PoolRefusal, retryAfterMs: 0 } })
--- a/packages/gateway/src/statements/pinned-transaction.ts
+++ b/packages/gateway/src/statements/pinned-transaction.ts
@@ -189,7 +189,7 @@
     return await sendBegin(context, group, operation, { pool, requiredPosition, isReadOnly: true }, connection)
   } catch (error) {
     if (!(error instanceof PoolError)) throw error
-    return createRetryRefusal('busy', error.message, RETRY_AFTER_MS)
+    return createRetryRefusal('busy', error.message, error.retryAfterMs)
   }
 }
 
--- a/packages/gateway/src/statements/run-read.ts
+++ b/packages/gateway/src/statements/run-read.ts
@@ -34,7 +34,7 @@
 }
 
 /** Result of one attempt: a response, or `notRun` when no statement was sent, or `noResponse` when none arrived. */
-type AttemptResult = { kind: 'responded', response: EndpointResponse, endpoint: string } | { kind: 'notRun' | 'noResponse', reason: string, code: ErrorCode }
+type AttemptResult = { kind: 'responded', response: EndpointResponse, endpoint: string } | { kind: 'notRun' | 'noResponse', reason: string, code: ErrorCode, retryAfterMs: number }
 
 /**
  * Runs a read outside of a transaction.
@@ -131,7 +131,7 @@
     connection = await pool.acquire({ workspace, session: requiredState.session, priority: route.priority, waitMs, canUseOtherEndpoint: pool !== group.primaryPool })
   } catch (error) {
     if (!(error instanceof PoolError)) throw error
-    return { kind: 'notRun', reason: error.message, code: 'busy' }
+    return { kind: 'notRun', reason: error.message, code: 'busy', retryAfterMs: error.retryAfterMs }
   }
   const restoreResponses = connection.restoreSession(requiredState, preparedName)
   try {
@@ -146,14 +146,14 @@
     pool.release(connection, false)
     const reason = describeError(error)
     context.logNoResponse(operation, pool, reason)
-    return { kind: 'noResponse', reason, code: 'timeout' }
+    return { kind: 'noResponse', reason, code: 'timeout', retryAfterMs: RETRY_AFTER_MS }
   }
 }
 
 function createFailureOutcome ({ route }: Operation, target: string, lastResult: AttemptResult | undefined): Outcome {
   if (lastResult?.kind === 'responded') return { response: lastResult.response, endpoint: lastResult.endpoint }
   if (lastResult?.kind === 'noResponse') return { refusal: { code: 'timeout', text: lastResult.reason } }
-  if (lastResult?.kind === 'notRun') return createRetryRefusal('busy', lastResult.reason, RETRY_AFTER_MS)
+  if (lastResult?.kind === 'notRun') return createRetryRefusal('busy', lastResult.reason, lastResult.retryAfterMs)
   const reason = target === 'unproven' ? 'no endpoint is known to be fresh enough' : `no endpoint of ${route.service} is reachable`
   return createRetryRefusal(target === 'unproven' ? 'lagging' : 'busy', reason, RETRY_AFTER_MS)
 }
--- a/packages/gateway/src/statements/run-write.ts
+++ b/packages/gateway/src/statements/run-write.ts
@@ -7,8 +7,6 @@
 import { computeWaitMs, createRetryRefusal, type Operation, type Outcome } from './operation.ts'
 import type { StatementContext } from './statement-context.ts'
 
-/** Retry time given to the client when no connection to the primary is free, in milliseconds. */
-const BUSY_RETRY_AFTER_MS = 100
 /** Retry time given to the client when the primary's leadership could not be verified, in milliseconds. */
 const UNVERIFIED_RETRY_AFTER_MS = 200
 
@@ -38,7 +36,7 @@
     return { pool, connection }
   } catch (error) {
     if (!(error instanceof PoolError)) throw error
-    return createRetryRefusal('busy', error.message, error.refusal === 'busy' ? BUSY_RETRY_AFTER_MS : context.estimateRecoveryMs(group))
+    return createRetryRefusal('busy', error.message, error.refusal === 'busy' ? error.retryAfterMs : Math.max(error.retryAfterMs, context.estimateRecoveryMs(group)))
   }
 }
 
--- a/packages/gateway/src/testing/load/run-load.ts
+++ b/packages/gateway/src/testing/load/run-load.ts
@@ -74,6 +74,8 @@
   readonly #options: LoadOptions
   readonly #time: VirtualTime
   readonly #random: () => number
+  /** Apart from the generator of the arrivals, so that these are the same with all decisions. */
+  readonly #drawReturn: () => number
   readonly #servers = new Map<string, SimulatedServer>()
   readonly #vms: LoadVm[] = []
   readonly #records: RequestRecord[] = []
@@ -86,6 +88,7 @@
     this.#pattern = pattern
     this.#time = time
     this.#random = createSeededRandom(pattern.seed)
+    this.#drawReturn = createSeededRandom(pattern.seed + 1)
     for (let s = 0; s < pattern.services; s++) {
       for (let e = 0; e < pattern.endpoint.copies; e++) this.#servers.set(`s${s}-e${e}`, new SimulatedServer(`s${s}-e${e}`, `d${(s + e) % pattern.failureDomains}`, pattern.endpoint))
     }
@@ -134,7 +137,7 @@
     for (let s = 0; s < services; s++) {
       const service = `s${s}`
       const readLimits = (group: ServiceGroup, entry: EndpointEntry): ReturnType<typeof computeConnectionShare> => computeConnectionShare({ maxConnections: endpoint.maxConnections, vms, vmsInSameDomain: Math.round(vms / failureDomains), isInSameDomain: entry.failureDomain === failureDomain, isPrimary: group.state.primary?.endpoint === entry.endpoint })
-      const group = new ServiceGroup({ service, connector, clock: this.#time, logger, readLimits, recordOpened: () => {}, ...this.#options })
+      const group = new ServiceGroup({ service, connector, clock: this.#time, logger, readLimits, recordOpened: () => {}, random: this.#drawReturn, ...this.#options })
       groups.set(service, group)
       for (let e = 0; e < endpoint.copies; e++) {
         const server = this.#find(`${service}-e${e}`)
