--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,4 @@
+export { fleetMessageSchema } from './fleet/message-schemas.ts'
 export * from './app.ts'
 export * from './backend/endpoint-connector.ts'
 export * from './backend/errors.ts'
--- a/packages/wire/src/peer/link.ts
+++ b/packages/wire/src/peer/link.ts
@@ -160,6 +160,8 @@
 
 export interface PeerServer {
   port: number
+  /** Calls `listener` for each error after the server has begun to listen, as when no more connections can be accepted. */
+  subscribeErrors: (listener: (error: Error) => void) => void
   close: () => Promise<void>
 }
 
@@ -173,7 +175,7 @@
   httpServer.listen(port, host)
   await once(httpServer, 'listening')
   const { port: boundPort } = httpServer.address() as AddressInfo
-  return { port: boundPort, close: async () => await closeServer(server, httpServer) }
+  return { port: boundPort, subscribeErrors: listener => { server.on('error', listener) }, close: async () => await closeServer(server, httpServer) }
 }
 
 /** Closes the server and all its connections, also those that have not become links: a peer may connect and send nothing. */
--- a/packages/wire/src/peer/ws-peer-network.test.ts
+++ b/packages/wire/src/peer/ws-peer-network.test.ts
@@ -27,6 +27,20 @@
     })
   }
 
+  it('goes on after a message that its receiver could not handle', async () => {
+    const receiver = createNetwork('vm-1')
+    const port = await receiver.listen('127.0.0.1', 0)
+    const sender = createNetwork('vm-0', () => ({ host: '127.0.0.1', port }))
+    const received = new Promise(resolve => receiver.subscribe('test', (_, body) => {
+      if ((body as { value: number }).value === 1) throw new Error('unexpected')
+      resolve(body)
+    }))
+    for (const value of [1, 2]) sender.send('vm-1', 'test', { value })
+    expect(await received).to.deep.equal({ value: 2 })
+    await receiver.stop()
+    await sender.stop()
+  })
+
   it('delivers messages to a peer, and stops with open links', async () => {
     const receiver = createNetwork('vm-1')
     const port = await receiver.listen('127.0.0.1', 0)
--- a/packages/wire/src/peer/ws-peer-network.ts
+++ b/packages/wire/src/peer/ws-peer-network.ts
@@ -62,6 +62,7 @@
    */
   async listen (host: string, port: number): Promise<number> {
     this.#server = await listenForPeers(host, port, this.self, this.#linkHandlers, link => this.#registry.addLink(link))
+    this.#server.subscribeErrors(error => this.#options.logger.error('server for peer links failed', { port, reason: error.message }))
     return this.#server.port
   }
 
@@ -165,6 +166,11 @@
       this.#options.logger.warn('peer message for an unknown slice dropped', { from: from.vm, slice: envelope.slice })
       return
     }
-    handler(from, envelope.body)
+    try {
+      handler(from, envelope.body)
+    } catch (error) {
+      // A message of one peer must not end the process, and with it the work of all clients.
+      this.#options.logger.error('peer message could not be handled', { from: from.vm, slice: envelope.slice, error: error instanceof Error ? error.stack : String(error) })
+    }
   }
 }
