--- a/packages/gateway/src/failover/verify-leadership.test.ts
+++ b/packages/gateway/src/failover/verify-leadership.test.ts
@@ -1,6 +1,7 @@
 import { createLogger } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import { EndpointConnector, type EndpointConnection, type EndpointStatus } from '../backend/endpoint-connector.ts'
+import { ConnectionLostError } from '../backend/errors.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import { isPrimaryFresh, revokeLeadership, updatePrimary } from '../freshness/group-state.ts'
 import { ServiceGroup } from '../groups/service-group.ts'
@@ -13,9 +14,13 @@
 /** Connects to endpoints that respond with the statuses set by a test. */
 class FakeConnector extends EndpointConnector {
   readonly statuses = new Map<string, Partial<EndpointStatus>>()
+  readonly silent = new Set<string>()
 
   override async connect ({ endpoint }: { endpoint: string }): Promise<EndpointConnection> {
-    const readStatus = async (): Promise<EndpointStatus> => ({ role: 'replica', term: 1, received: { term: 1, index: 5 }, pausedForTerm: 0, lagMs: 0, ...this.statuses.get(endpoint) })
+    const readStatus = async (): Promise<EndpointStatus> => {
+      if (this.silent.has(endpoint)) throw new ConnectionLostError('endpoint does not respond')
+      return { role: 'replica', term: 1, received: { term: 1, index: 5 }, pausedForTerm: 0, lagMs: 0, ...this.statuses.get(endpoint) }
+    }
     return { readStatus, subscribeClose: () => {}, close: () => {} } as unknown as EndpointConnection
   }
 }
@@ -63,6 +68,24 @@
     expect(isPrimaryFresh(group.state, 0, clock.nowMs - 10_000)).to.equal(false)
   })
 
+  it('does not forget the pause of a replica that does not respond any more, when another one has lost its own', async () => {
+    const { group, verifier, clock, connector } = createFixture()
+    for (const endpoint of ['a', 'b']) connector.statuses.set(endpoint, { pausedForTerm: 2 })
+    await verifier.verifyLeadership(group, 1_000)
+    connector.statuses.set('a', {})
+    connector.silent.add('b')
+    for (let elapsedMs = 0; elapsedMs < 9_000; elapsedMs += 500) {
+      clock.nowMs += 500
+      await verifier.verifyLeadership(group, 1_000)
+      expect(isPrimaryFresh(group.state, 0, clock.nowMs), `after ${elapsedMs} ms`).to.equal(false)
+    }
+    connector.silent.clear()
+    connector.statuses.set('b', {})
+    clock.nowMs += 500
+    await verifier.verifyLeadership(group, 1_000)
+    expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(true)
+  })
+
   it('rejects replicas that are paused or follow another term', async () => {
     const { group, verifier, clock, connector } = createFixture()
     connector.statuses.set('a', { pausedForTerm: 2 })
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -19,6 +19,9 @@
 /** Shortest time between two queries of the same kind to a group. */
 const MIN_QUERY_INTERVAL_MS = 200
 
+/** Terms for which replicas were seen paused, all later than `term`, the primary's. `firstAtMs` is the time since when there is no later pause. */
+interface SeenPauses { term: number, pauses: Map<string, number>, firstAtMs: number, lastAtMs: number }
+
 export interface LeadershipVerifierOptions {
   clock: Clock
   logger: Logger
@@ -36,8 +39,8 @@
   readonly #options: LeadershipVerifierOptions
   readonly #running = new Map<string, Promise<void>>()
   readonly #queriedAtMs = new Map<string, number>()
-  /** When a replica of a group was first and last seen paused, by service, unless none has been since. */
-  readonly #seenPauses = new Map<string, { firstAtMs: number, lastAtMs: number }>()
+  /** The replicas of a group that were seen paused and have not been seen without a pause since, by service. */
+  readonly #seenPauses = new Map<string, SeenPauses>()
 
   constructor (options: LeadershipVerifierOptions) {
     this.#options = options
@@ -75,10 +78,12 @@
     const primaryEntry = group.primaryPool?.entry
     if (primary.term === 0 && primaryEntry !== undefined) await this.checkRole(group, primaryEntry)
     const replicas = pools.filter(p => p.entry.endpoint !== primary.endpoint)
-    let isPauseSeen = false
+    const paused = new Map<string, number>()
+    const unpaused = new Set<string>()
     const verify = async (entry: EndpointEntry): Promise<EndpointEntry> => {
       const status = await this.#findStatus(entry)
-      isPauseSeen ||= status?.role === 'replica' && status.pausedForTerm > primary.term
+      if (status?.role === 'replica' && status.pausedForTerm > primary.term) paused.set(entry.endpoint, status.pausedForTerm)
+      else if (status !== null) unpaused.add(entry.endpoint)
       const { primary: current } = group.state
       const isFollowing = status?.role === 'replica' && status.pausedForTerm === 0 && status.term === current?.term
       if (current === null || !isFollowing) throw new Error(`${entry.endpoint}: expected a replica that is not paused and follows the primary's term`)
@@ -90,24 +95,32 @@
       // All replicas together are a sufficient proof even if each has started recently: they did not all lose the information about a pause.
       await Promise.any([...sufficientProofs, ...proofs.length > 1 ? [Promise.all(proofs.map(v => v.proof))] : []])
       await Promise.race([Promise.allSettled(proofs.map(v => v.proof)), waitFor(PAUSE_CHECK_MS)])
-      if (this.#isPauseRecent(group, isPauseSeen)) throw new Error('a replica is paused, so a promotion may be in progress')
+      if (this.#isPauseRecent(group, paused, unpaused)) throw new Error('a replica is paused, so a promotion may be in progress')
       recordVerification(group.state, primary.endpoint, sentAtMs)
       this.#options.logger.info('leadership verified', { service: group.service, primary: primary.endpoint, term: group.state.primary?.term, replicaCount: replicas.length })
     } catch (error) {
-      if (isPauseSeen) this.#isPauseRecent(group, isPauseSeen)
+      if (paused.size > 0) this.#isPauseRecent(group, paused, unpaused)
       this.#options.logger.info('leadership not verified', { reason: describeError(error), service: group.service, primary: primary.endpoint, term: primary.term, replicaCount: replicas.length })
     }
   }
 
-  /** Whether a replica has been paused so recently that a promotion may be in progress. */
-  #isPauseRecent ({ service }: ServiceGroup, isPauseSeen: boolean): boolean {
-    if (!isPauseSeen) {
+  /**
+   * Whether a replica has been paused so recently that a promotion may be in progress. One that was seen paused and does not respond now
+   * counts, as another one may have lost its pause in a restart.
+   */
+  #isPauseRecent ({ service, state, pools }: ServiceGroup, paused: ReadonlyMap<string, number>, unpaused: ReadonlySet<string>): boolean {
+    const term = state.primary?.term ?? 0
+    const nowMs = this.#options.clock.readNow()
+    const seen = this.#seenPauses.get(service)
+    const earlier = seen?.term === term ? seen : { term, pauses: new Map<string, number>(), firstAtMs: nowMs, lastAtMs: nowMs }
+    const hasNewPause = [...paused].some(([endpoint, pausedForTerm]) => pausedForTerm > (earlier.pauses.get(endpoint) ?? 0))
+    const pauses = new Map([...earlier.pauses, ...paused].filter(([endpoint]) => !unpaused.has(endpoint) && pools.has(endpoint)))
+    if (pauses.size === 0) {
       this.#seenPauses.delete(service)
       return false
     }
-    const nowMs = this.#options.clock.readNow()
-    const { firstAtMs } = this.#seenPauses.get(service) ?? { firstAtMs: nowMs }
-    this.#seenPauses.set(service, { firstAtMs, lastAtMs: nowMs })
+    const firstAtMs = hasNewPause ? nowMs : earlier.firstAtMs
+    this.#seenPauses.set(service, { term, pauses, firstAtMs, lastAtMs: paused.size > 0 ? nowMs : earlier.lastAtMs })
     return nowMs - firstAtMs < STALE_PAUSE_MS
   }
 
