--- a/packages/gateway/src/testing/load/load-pattern.ts
+++ b/packages/gateway/src/testing/load/load-pattern.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod'
+import { consistencyLevels } from '../../configuration/configuration.ts'
 
 /** Kind of requests that a load pattern sends. */
 export const requestKindSchema = z.object({
@@ -7,7 +8,9 @@
   ratePerSecond: z.number().positive(),
   /** Fraction of writes; the others are reads. */
   writeFraction: z.number().min(0).max(1),
-  consistency: z.enum(['primary', 'session', 'bounded']),
+  consistency: z.enum(consistencyLevels),
+  /** How stale the data of a read may be, in milliseconds. */
+  maxStalenessMs: z.number().nonnegative(),
   /** Mean time that an endpoint works on a statement, in milliseconds. */
   workMs: z.number().positive(),
   objectiveMs: z.number().positive(),
@@ -60,9 +63,9 @@
 export type LoadPattern = z.infer<typeof loadPatternSchema>
 
 const kinds: RequestKind[] = [
-  { name: 'filing', ratePerSecond: 37.7, writeFraction: 0.5, consistency: 'primary', workMs: 6, objectiveMs: 300, deadlineMs: 2_000, priority: 1, worth: 2, lateWorth: 0.2 },
-  { name: 'dashboard', ratePerSecond: 37.7, writeFraction: 0, consistency: 'bounded', workMs: 30, objectiveMs: 600, deadlineMs: 4_000, priority: 2, worth: 1, lateWorth: 0.1 },
-  { name: 'amendment', ratePerSecond: 126, writeFraction: 0.2, consistency: 'session', workMs: 18, objectiveMs: 500, deadlineMs: 2_000, priority: 2, worth: 2, lateWorth: 0.1 }
+  { name: 'filing', ratePerSecond: 37.7, writeFraction: 0.5, consistency: 'primary', maxStalenessMs: 0, workMs: 6, objectiveMs: 300, deadlineMs: 2_000, priority: 1, worth: 2, lateWorth: 0.2 },
+  { name: 'dashboard', ratePerSecond: 37.7, writeFraction: 0, consistency: 'boundedStaleness', maxStalenessMs: 2_500, workMs: 30, objectiveMs: 600, deadlineMs: 4_000, priority: 2, worth: 1, lateWorth: 0.1 },
+  { name: 'amendment', ratePerSecond: 126, writeFraction: 0.2, consistency: 'readYourWrites', maxStalenessMs: 2_500, workMs: 18, objectiveMs: 500, deadlineMs: 2_000, priority: 2, worth: 2, lateWorth: 0.1 }
 ]
 const small = { seed: 1, durationMs: 14_000, vms: 9, services: 3, workspaces: 8, endpoint: { slots: 3, queue: 24, maxConnections: 23, handshakeMs: 12 }, kinds }
 
--- a/packages/gateway/src/testing/load/run-load.ts
+++ b/packages/gateway/src/testing/load/run-load.ts
@@ -131,7 +131,7 @@
   #createVm (name: string, failureDomain: string): LoadVm {
     const { endpoint, vms, services, failureDomains } = this.#pattern
     const computeDelayMs = (server: SimulatedServer): number => server.failureDomain === failureDomain ? IN_DOMAIN_DELAY_MS : OTHER_DOMAIN_DELAY_MS
-    const connector = new ServerConnector({ servers: this.#servers, handshakeMs: endpoint.handshakeMs, time: this.#time, computeDelayMs, readWorkMs: id => this.#workMs.get(id)!, lingerMs: () => this.#lingerMs })
+    const connector = new ServerConnector({ servers: this.#servers, handshakeMs: endpoint.handshakeMs, computeDelayMs, readWorkMs: id => this.#workMs.get(id)!, lingerMs: () => this.#lingerMs })
     const logger = { info: () => {}, warn: () => {}, error: () => {}, debug: () => {}, child: () => logger } as unknown as Logger
     const groups = new Map<string, ServiceGroup>()
     for (let s = 0; s < services; s++) {
@@ -243,7 +243,8 @@
 
   async #runStatement (vm: LoadVm, kind: RequestKind, { id, workspace, service, isWrite, receivedAtMs }: { id: string, workspace: string, service: string, isWrite: boolean, receivedAtMs: number }): Promise<Outcome> {
     const group = vm.groups.get(service)!
-    const route: Route = { name: kind.name, database: service, service, consistency: kind.consistency === 'primary' ? 'primary' : 'readYourWrites', statementTimeoutMs: STATEMENT_TIMEOUT_MS, objectiveMs: kind.objectiveMs, priority: kind.priority, maxStalenessMs: kind.consistency === 'primary' ? 0 : 2_500, isPublic: false } as Route
+    const { name, consistency, objectiveMs, priority, maxStalenessMs } = kind
+    const route: Route = { name, database: service, service, consistency, statementTimeoutMs: STATEMENT_TIMEOUT_MS, objectiveMs, priority, maxStalenessMs, isPublic: false }
     const statement = { id, text: id, type: isWrite ? 'write' as const : 'read' as const }
     const operation: Operation = { statement, requiredState: { session: id, sessionValues: new Map(), preparedStatements: new Map() }, preparedName: null, workspace, route, sessionPosition: null, receivedAtMs }
     const context = this.#createContext(vm)
--- a/packages/gateway/src/testing/load/simulated-server.ts
+++ b/packages/gateway/src/testing/load/simulated-server.ts
@@ -2,7 +2,6 @@
 import { EndpointConnector, type EndpointConnection, type EndpointResponse, type EndpointTarget } from '../../backend/endpoint-connector.ts'
 import { ConnectionLostError, EndpointRefusedError } from '../../backend/errors.ts'
 import type { ResponseError } from '../../backend/statement.ts'
-import type { VirtualTime } from '../virtual-time.ts'
 import type { LoadPattern } from './load-pattern.ts'
 
 interface Job { workMs: number, finish: () => void }
@@ -68,7 +67,6 @@
 export interface ServerConnectorOptions {
   servers: ReadonlyMap<string, SimulatedServer>
   handshakeMs: number
-  time: VirtualTime
   /** Returns the time from this VM to an endpoint, one way, in milliseconds. */
   computeDelayMs: (server: SimulatedServer) => number
   /** Returns the time that an endpoint works on the statement of an id. */
