Run the tests of the end of idle sessions in virtual time

Traced: it waited four times the close timeout by a real timer, while the session sets its second timer when the first has fired. With the event loop blocked for 70 ms after 10 ms, the old test fails as seen: `notice busy` without `close` and `destroy`. The fault is the test's.

--- a/packages/gateway/src/sessions/client-session.test.ts
+++ b/packages/gateway/src/sessions/client-session.test.ts
@@ -7,6 +7,7 @@
 import type { Configuration } from '../configuration/configuration.ts'
 import type { Operation, Outcome } from '../statements/operation.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
+import { VirtualTime } from '../testing/virtual-time.ts'
 import { ClientSession } from './client-session.ts'
 import type { SessionEnd, SessionEnding } from './session-end.ts'
 import type { SessionHost } from './session-host.ts'
@@ -66,6 +67,17 @@
 const waitForEventLoopTurn = async (): Promise<void> => await new Promise(resolve => setImmediate(resolve))
 const waitFor = async (ms: number): Promise<void> => await new Promise(resolve => setTimeout(resolve, ms))
 
+/** Runs with timers that do not depend on how busy the machine is. */
+async function runInVirtualTime (run: (time: VirtualTime) => Promise<void>): Promise<void> {
+  const time = new VirtualTime()
+  time.start()
+  try {
+    await run(time)
+  } finally {
+    time.stop()
+  }
+}
+
 interface StartedSession {
   session: ClientSession
   transport: RecordingTransport
@@ -133,8 +145,10 @@
 
   it('closes the connection of a client that does not, and destroys it if it does not end', async () => {
     const { session, transport, ends } = await startSession()
-    session.end(ending)
-    await waitFor(CLOSE_TIMEOUT_MS * 4)
+    await runInVirtualTime(async time => {
+      session.end(ending)
+      await time.advance(CLOSE_TIMEOUT_MS * 4)
+    })
     expect(transport.sent).to.deep.equal(['notice busy', 'close', 'destroy'])
     session.handleClose()
     expect(ends[0]).to.include({ cause: 'drain', answered: 0 })
@@ -142,9 +156,11 @@
 
   it('does not close the connection while a message is arriving', async () => {
     const { session, transport } = await startSession()
-    session.end(ending)
-    transport.input = { incompleteBytes: 12, sinceLastByteMs: 1 }
-    await waitFor(CLOSE_TIMEOUT_MS * 3)
+    await runInVirtualTime(async time => {
+      session.end(ending)
+      transport.input = { incompleteBytes: 12, sinceLastByteMs: 1 }
+      await time.advance(CLOSE_TIMEOUT_MS * 3)
+    })
     session.handleStatement(writeStatement)
     expect(transport.sent).to.deep.equal(['notice busy', 'completion', 'notice busy'])
     session.handleClose()
