Log the age of a failover claim, its predecessor, and the times of each call of the platform

None of the lines tells when a call was written, how old its claim was then, or for how long the other VM had waited; with these the three hypotheses of docs/incidents/promotion-token-order.md can be told apart.

--- a/packages/gateway/src/backend/promoter.ts
+++ b/packages/gateway/src/backend/promoter.ts
@@ -11,8 +11,16 @@
 /** Result of an order. After `refused` and `busy` nothing was done; `busy` also if the promoter was not reached at all. `unknown` when no response came in time. */
 export type PromotionResult = 'accepted' | 'refused' | 'busy' | 'unknown'
 
+/** What became of a call, with times in milliseconds since it was made. */
+export interface PromotionResponse {
+  result: PromotionResult
+  /** When the connection was open and the request was written; `null` if it was not. */
+  sentAfterMs: number | null
+  endedAfterMs: number
+}
+
 /** Interface to the component that makes an endpoint the primary of its service. */
 export abstract class Promoter {
   /** Sends an order. After `unknown`, when no response came within `timeoutMs`, the order may still take effect. */
-  abstract promote (order: PromotionOrder, timeoutMs: number): Promise<PromotionResult>
+  abstract promote (order: PromotionOrder, timeoutMs: number): Promise<PromotionResponse>
 }
--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -144,8 +144,13 @@
    * @throws MetadataError if the store did not respond
    */
   async claim (service: string): Promise<Claim | null> {
-    const current = await this.#options.store.find('duties', formatObjectName(service))
-    return this.#isFree(service, current) || await this.#confirmUnclaimed(service, current) ? await this.#write(service, current, this.#readRecords(current)) : null
+    const { store, logger } = this.#options
+    const current = await store.find('duties', formatObjectName(service))
+    if (!this.#isFree(service, current) && !await this.#confirmUnclaimed(service, current)) return null
+    const observedMs = this.#measureObserved(service, current)
+    const claim = await this.#write(service, current, this.#readRecords(current))
+    if (claim !== null) logger.info('failover claim taken', { service, fencingToken: claim.fencingToken, previous: describeHolder(current), observedMs, order: claim.order })
+    return claim
   }
 
   /**
@@ -214,8 +219,10 @@
 
   /** Releases the claim, with its order if it has one, so that other VMs need not wait until they may take it over. Failures are only logged. */
   async release (claim: Claim): Promise<void> {
-    const { store, logger, incarnation } = this.#options
+    const { store, clock, logger, incarnation } = this.#options
     this.#held.delete(claim.service)
+    const inputs = { service: claim.service, fencingToken: claim.fencingToken, claimAgeMs: Math.round(clock.readNow() - claim.claimedAtMs), order: claim.order }
+    logger.info('failover claim released', inputs)
     try {
       const released = { holder: null, incarnation, epoch: claim.revision.epoch, ...pickRecords(claim) }
       await store.write('duties', formatObjectName(claim.service), released, claim.revision)
@@ -288,6 +295,13 @@
     return sinceMs
   }
 
+  /** Measures for how long this VM has seen an object unchanged; `null` if it sees it for the first time, or did not need to wait. */
+  #measureObserved (service: string, current: StoredObject<unknown> | undefined): number | null {
+    const observed = this.#observed.get(service)
+    const isSame = observed !== undefined && current !== undefined && isSameRevision(observed.revision, current.revision)
+    return isSame ? Math.round(this.#options.clock.readNow() - observed.sinceMs) : null
+  }
+
   /** Observes all claims, so that the wait until they may be taken over begins now. */
   async #recordClaims (): Promise<void> {
     const { store, clock } = this.#options
@@ -296,6 +310,12 @@
   }
 }
 
+/** Describes for the log who held a claim before, and with which revision. */
+function describeHolder (current: StoredObject<unknown> | undefined): { holder: string | null, incarnation: number, revision: Revision } | null {
+  const parsed = claimSchema.safeParse(current?.value)
+  return current === undefined || !parsed.success ? null : { holder: parsed.data.holder, incarnation: parsed.data.incarnation, revision: current.revision }
+}
+
 function computeFencingToken ({ epoch, number }: Revision): number {
   const token = epoch * TOKENS_PER_EPOCH + number
   if (number >= TOKENS_PER_EPOCH || !Number.isSafeInteger(token)) throw new MetadataError(`no fencing token can be computed from epoch ${epoch}, revision ${number} of the metadata store`)
--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -61,8 +61,9 @@
   if (!host.claims.isUsable(attempt.claim)) return // The checks took too long, or this VM stood still.
   const order = { service: group.service, endpoint: entry.endpoint, holder: host.vm, fencingToken: attempt.claim.fencingToken }
   host.publishOrder(group, { endpoint: entry.endpoint, startedAtMs: openOrder.startedAtMs, replacedTerm: openOrder.replacedTerm, received: openOrder.received, epoch: attempt.claim.revision.epoch })
-  const result = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
-  host.logger.warn('promotion requested', { ...order, result })
+  const claimAgeMs = Math.round(host.clock.readNow() - attempt.claim.claimedAtMs)
+  const { result, ...times } = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
+  host.logger.warn('promotion requested', { ...order, result, claimAgeMs, ...times })
   // A call without an answer may still be executed although a later one was refused.
   if (result === 'accepted' || result === 'unknown') attempt.openOrder = { ...openOrder, isAccepted: result === 'accepted' }
   if (result === 'accepted') await recordAcceptance(attempt)
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -1,7 +1,7 @@
 import { createSeededRandom, type Logger } from '@camphorpitch/wire'
 import { EndpointConnector, type EndpointConnection, type EndpointResponse } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError } from '../backend/errors.ts'
-import { Promoter, type PromotionOrder, type PromotionResult } from '../backend/promoter.ts'
+import { Promoter, type PromotionOrder, type PromotionResponse, type PromotionResult } from '../backend/promoter.ts'
 import { ConfigurationHolder } from '../configuration/configuration-holder.ts'
 import type { Route } from '../configuration/configuration.ts'
 import type { PromotionReason } from '../failover/decide-promotion.ts'
@@ -355,7 +355,11 @@
     this.#vm = vm
   }
 
-  override async promote (order: PromotionOrder, timeoutMs: number): Promise<PromotionResult> {
+  override async promote (order: PromotionOrder, timeoutMs: number): Promise<PromotionResponse> {
+    return { result: await this.#attempt(order, timeoutMs), sentAfterMs: 0, endedAfterMs: 0 }
+  }
+
+  async #attempt (order: PromotionOrder, timeoutMs: number): Promise<PromotionResult> {
     this.#vm.orders.push(order)
     const { platform } = this.#fleet
     if (platform !== undefined) return await this.#sendOrder(platform, order, timeoutMs)
