--- /dev/null
+++ b/packages/gateway/src/failover/call-order.test.ts
@@ -0,0 +1,90 @@
+import { expect } from 'chai'
+import { SimulatedPlatform } from '../testing/simulated-platform.ts'
+import { SimulatedFleet, type SimulatedVm } from '../testing/simulated-vm.ts'
+
+const STEP_MS = 20
+/** Longest time for which a call stays unread here. */
+const UNREAD_MS = 9_000
+const READ_INTERVAL_MS = 10
+
+describe('calls of the platform', () => {
+  let fleet: SimulatedFleet
+  let calls: number
+
+  beforeEach(() => {
+    fleet = new SimulatedFleet(['p', 'a', 'b'])
+    calls = 0
+  })
+  afterEach(() => fleet.time.stop())
+
+  /** Starts VMs of which only the last reaches `p`, in front of a platform that reads nothing for a time, and then the latest call first. */
+  async function startVms (...names: string[]): Promise<SimulatedVm[]> {
+    const vms = names.map(name => fleet.startVm(name))
+    for (const vm of vms) vm.addEndpoints()
+    vms.at(-1)!.commit()
+    await fleet.advance(100)
+    for (const vm of vms.slice(0, -1)) vm.connector.unreachable.add('p')
+    const goesOnAtMs = fleet.time.readNow() + UNREAD_MS
+    const platform = new SimulatedPlatform(fleet.group, fleet.time)
+    platform.drawFate = () => {
+      const leftMs = goesOnAtMs - fleet.time.readNow()
+      calls++
+      return { toPlatformMs: leftMs > 0 ? leftMs + 200 - calls * READ_INTERVAL_MS : 2, effectMs: 400, answerMs: 2 }
+    }
+    fleet.platform = platform
+    return vms
+  }
+
+  async function waitForCall (vm: SimulatedVm): Promise<void> {
+    for (let i = 0; i < 200 && vm.orders.length === 0; i++) await fleet.advance(STEP_MS)
+    expect(vm.orders).to.have.length(1)
+  }
+
+  /** Has VMs promote again and again until all calls are read and an endpoint leads. */
+  async function promoteFor (ms: number, ...vms: SimulatedVm[]): Promise<void> {
+    const running = new Set<SimulatedVm>()
+    for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += STEP_MS) {
+      for (const vm of vms.filter(v => v.isRunning && !running.has(v) && fleet.group.find('p').role === 'primary')) {
+        running.add(vm)
+        vm.promote('primary lost').catch(() => {}).finally(() => running.delete(vm)) // The claim of another VM is no fault.
+      }
+      await fleet.advance(STEP_MS)
+    }
+    expect(calls).to.be.greaterThan(0)
+  }
+
+  it('arrive in the order of their tokens although a VM calls again while its first call is unread', async () => {
+    const [vm1] = await startVms('vm1', 'vm2') as [SimulatedVm]
+    await promoteFor(UNREAD_MS + 3_000, vm1)
+    expect(fleet.brokenOrders).to.deep.equal([])
+  })
+
+  it('arrive in the order of their tokens although another VM claims the duty while a call is unread', async () => {
+    const [vm1, vm2] = await startVms('vm1', 'vm2', 'vm3') as [SimulatedVm, SimulatedVm]
+    vm1.promote('primary lost').catch(() => {}) // Its attempt ends without an effect.
+    await waitForCall(vm1)
+    await promoteFor(UNREAD_MS + 5_000, vm2)
+    expect(fleet.brokenOrders).to.deep.equal([])
+  })
+
+  it('arrive in the order of their tokens although the VM that called ends while its call is unread', async () => {
+    const [vm1, vm2] = await startVms('vm1', 'vm2', 'vm3') as [SimulatedVm, SimulatedVm]
+    vm1.promote('primary lost').catch(() => {}) // Its VM ends.
+    await waitForCall(vm1)
+    vm1.kill()
+    await promoteFor(UNREAD_MS + 5_000, vm2)
+    expect(fleet.brokenOrders).to.deep.equal([])
+  })
+
+  it('arrive in the order of their tokens although the VM that called starts again while its call is unread', async () => {
+    const [vm1] = await startVms('vm1', 'vm2') as [SimulatedVm]
+    vm1.promote('primary lost').catch(() => {}) // Its VM ends.
+    await waitForCall(vm1)
+    vm1.kill()
+    const restarted = fleet.startVm('vm1')
+    restarted.addEndpoints()
+    restarted.connector.unreachable.add('p')
+    await promoteFor(UNREAD_MS + 5_000, restarted)
+    expect(fleet.brokenOrders).to.deep.equal([])
+  })
+})
--- a/packages/gateway/src/testing/order-history.ts
+++ b/packages/gateway/src/testing/order-history.ts
@@ -24,8 +24,11 @@
 /** Time without a primary after which an operator promotes an endpoint that holds every acknowledged commit, while faults go on. */
 const OPERATOR_DELAY_MS = 2_000
 
-type PlatformState = 'usual' | 'slow' | 'down' | 'busy' | 'loses answers' | 'executes late'
-const PLATFORM_FAULTS: PlatformState[] = ['slow', 'slow', 'slow', 'executes late', 'executes late', 'loses answers', 'down', 'busy']
+type PlatformState = 'usual' | 'slow' | 'down' | 'busy' | 'loses answers' | 'executes late' | 'reads nothing'
+const PLATFORM_FAULTS: PlatformState[] = ['slow', 'slow', 'slow', 'executes late', 'executes late', 'loses answers', 'down', 'busy', 'reads nothing', 'reads nothing']
+/** A platform that reads nothing goes on within this time, and then reads all calls that it got, in any order. */
+const MAX_UNREAD_MS = 8_000
+const READ_SPREAD_MS = 50
 
 export interface OrderHistoryOptions {
   /** Whether the platform is slow, down or busy at times, loses answers and executes calls late, and VMs stand still or do not reach the store. */
@@ -46,6 +49,7 @@
   readonly #promoting = new Set<SimulatedVm>()
   readonly #usualEffectMs: number
   #platformState: PlatformState = 'usual'
+  #unreadUntilMs = -Infinity
   #hasFaults = true
   #joined = 0
   #lastLogLossAtMs = -Infinity
@@ -195,19 +199,24 @@
       case 'down': return { ...usual, toPlatformMs: null }
       case 'busy': return { ...usual, isBusy: true }
       case 'loses answers': return { ...usual, answerMs: null }
+      case 'reads nothing': return { ...usual, toPlatformMs: this.#unreadUntilMs - this.fleet.time.readNow() + this.#drawBetween(1, READ_SPREAD_MS) }
       case 'executes late': return { ...usual, toPlatformMs: this.#drawBetween(800, 5_000), answerMs: null }
     }
   }
 
   #updatePlatform (): void {
     if (this.#options.hasOrderFaults !== true) return
-    if (this.#platformState !== 'usual') {
+    if (this.#platformState === 'reads nothing') {
+      if (this.fleet.time.readNow() >= this.#unreadUntilMs) this.#setPlatform('usual')
+    } else if (this.#platformState !== 'usual') {
       if (this.#draw(0.02)) this.#setPlatform('usual')
     } else if (this.#draw(0.04)) this.#setPlatform(this.#pick(PLATFORM_FAULTS))
   }
 
   #setPlatform (state: PlatformState): void {
+    if (this.#platformState === 'reads nothing' && this.fleet.time.readNow() < this.#unreadUntilMs) return
     this.#platformState = state
+    if (state === 'reads nothing') this.#unreadUntilMs = this.fleet.time.readNow() + this.#drawBetween(500, MAX_UNREAD_MS)
     this.#print(`platform: ${state}`)
   }
 
--- a/packages/gateway/src/testing/simulated-platform.ts
+++ b/packages/gateway/src/testing/simulated-platform.ts
@@ -19,6 +19,8 @@
 
 /** The platform that executes promotion orders, each after a time of its own. */
 export class SimulatedPlatform {
+  /** Called when a call is read, in the order in which the calls are read. */
+  onRead: (order: PromotionOrder) => void = () => {}
   /** Draws what happens to a call. */
   drawFate: () => CallFate = () => ({ toPlatformMs: 2, effectMs: 400, answerMs: 2 })
   /** Whether it refuses calls with a lower fencing token than that of an earlier call. */
@@ -53,6 +55,7 @@
     const open = { order, sentAtMs: this.#time.readNow(), sentWallMs: Date.now(), isExecuted: false }
     if (!isBusy) this.#open.add(open)
     await this.#time.waitOutside(toPlatformMs)
+    this.onRead(order)
     const result = isBusy ? 'busy' : this.#execute(open, effectMs)
     if (answerMs === null) return await this.#waitForever()
     await this.#time.waitOutside(answerMs)
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -46,8 +46,7 @@
   /** Descriptions of promotion orders whose fencing token is lower than an earlier one, or that of another VM. */
   readonly brokenOrders: string[] = []
   #latestOrder: PromotionOrder | undefined
-  /** Executes the orders, if set; otherwise each takes effect after its VM's `promotionDelayMs`. */
-  platform: SimulatedPlatform | undefined
+  #platform: SimulatedPlatform | undefined
   readonly random: () => number
   readonly logger: Logger
 
@@ -59,6 +58,16 @@
     this.logger = createTraceLogger(this.time)
   }
 
+  /** Executes the orders, if set; otherwise each takes effect after its VM's `promotionDelayMs`. */
+  get platform (): SimulatedPlatform | undefined {
+    return this.#platform
+  }
+
+  set platform (platform: SimulatedPlatform | undefined) {
+    this.#platform = platform
+    if (platform !== undefined) platform.onRead = order => this.recordOrder(order)
+  }
+
   /** Starts a VM, or starts one again without what it knew, and introduces it to the others. */
   startVm (name: string): SimulatedVm {
     const vm = new SimulatedVm(this, name)
@@ -78,7 +87,7 @@
     }
   }
 
-  /** Records an order that reaches the platform. */
+  /** Records an order that the platform reads. */
   recordOrder (order: PromotionOrder): void {
     const latest = this.#latestOrder
     const isBroken = latest !== undefined && (order.fencingToken < latest.fencingToken || (order.fencingToken === latest.fencingToken && order.holder !== latest.holder))
@@ -379,7 +388,6 @@
     const { time } = this.#fleet
     const expired = new Promise<PromotionResult>(resolve => setTimeout(() => resolve('unknown'), timeoutMs))
     if (!this.#vm.isRunning || this.#vm.losesOrders) return await expired
-    this.#fleet.recordOrder(order)
     const answered = platform.receive(order).then(async result => {
       await time.waitWhileFrozen(this.#vm.process)
       return result
