--- a/packages/gateway/src/backend/promoter.ts
+++ b/packages/gateway/src/backend/promoter.ts
@@ -8,7 +8,7 @@
   fencingToken: number
 }
 
-/** Result of an order. After `refused` and `busy` nothing was done; `busy` also if the promoter was not reached at all. `unknown` when no response came in time. */
+/** Result of an order. After `refused` and `busy` nothing was done; `busy` also if the order was not sent. `unknown` when no response came in time. */
 export type PromotionResult = 'accepted' | 'refused' | 'busy' | 'unknown'
 
 /** What became of a call, with times in milliseconds since it was made. */
@@ -21,6 +21,11 @@
 
 /** Interface to the component that makes an endpoint the primary of its service. */
 export abstract class Promoter {
-  /** Sends an order. After `unknown`, when no response came within `timeoutMs`, the order may still take effect. */
-  abstract promote (order: PromotionOrder, timeoutMs: number): Promise<PromotionResponse>
+  /**
+   * Sends an order. After `unknown`, when no response came within `timeoutMs`, the order may still take effect.
+   *
+   * @param canSend whether the order may still be sent; asked right before it is written
+   * @example await promoter.promote(order, 700, () => claims.isUsable(claim)) // { result: 'accepted', sentAfterMs: 9, endedAfterMs: 31 }
+   */
+  abstract promote (order: PromotionOrder, timeoutMs: number, canSend: () => boolean): Promise<PromotionResponse>
 }
--- a/packages/gateway/src/failover/call-order.test.ts
+++ b/packages/gateway/src/failover/call-order.test.ts
@@ -59,6 +59,22 @@
     expect(fleet.brokenOrders).to.deep.equal([])
   })
 
+  it('are not sent once their claim has expired, although the VM stood still while its connection opened', async () => {
+    const [vm1, vm2] = await startVms('vm1', 'vm2', 'vm3') as [SimulatedVm, SimulatedVm]
+    fleet.platform!.drawFate = () => {
+      calls++
+      return { toPlatformMs: 2, effectMs: 400, answerMs: 2 }
+    }
+    vm1.connectMs = 30
+    vm1.runAsVm(() => { vm1.promote('primary lost').catch(() => {}) }) // Another VM has the claim when it goes on.
+    for (let i = 0; i < 400 && vm1.group.state.openOrder === null; i++) await fleet.advance(5)
+    expect(vm1.group.state.openOrder).to.not.equal(null)
+    vm1.freeze(18_000)
+    await promoteFor(24_000, vm2)
+    expect(vm1.orders).to.deep.equal([])
+    expect(fleet.brokenOrders).to.deep.equal([])
+  })
+
   it('arrive in the order of their tokens although another VM claims the duty while a call is unread', async () => {
     const [vm1, vm2] = await startVms('vm1', 'vm2', 'vm3') as [SimulatedVm, SimulatedVm]
     vm1.promote('primary lost').catch(() => {}) // Its attempt ends without an effect.
--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -91,7 +91,7 @@
   const order = { service: group.service, endpoint: entry.endpoint, holder: host.vm, fencingToken: host.claims.beginCall(attempt.claim) }
   host.publishOrder(group, { endpoint: entry.endpoint, startedAtMs: openOrder.startedAtMs, replacedTerm: openOrder.replacedTerm, received: openOrder.received, epoch: attempt.claim.revision.epoch })
   const claimAgeMs = Math.round(host.clock.readNow() - attempt.claim.claimedAtMs)
-  const { result, ...times } = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS)
+  const { result, ...times } = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS, () => host.claims.isUsable(attempt.claim))
   host.logger.warn('promotion requested', { ...order, result, claimAgeMs, ...times })
   return result
 }
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -122,6 +122,8 @@
   readonly process: SimulatedProcess
   /** Times of a store call of this VM. */
   drawStoreDelays: () => StoreDelays = () => [0, 0]
+  /** Time until a connection to the platform is open. */
+  connectMs = 0
   /** Time from an order of this VM to its effect. */
   promotionDelayMs = 400
   /** What the product's code for statements needs of this VM. */
@@ -364,7 +366,14 @@
     this.#vm = vm
   }
 
-  override async promote (order: PromotionOrder, timeoutMs: number): Promise<PromotionResponse> {
+  override async promote (order: PromotionOrder, timeoutMs: number, canSend: () => boolean): Promise<PromotionResponse> {
+    const { connectMs, process } = this.#vm
+    const { time } = this.#fleet
+    if (connectMs > 0) {
+      await time.waitOutside(connectMs)
+      await time.waitWhileFrozen(process)
+    }
+    if (!canSend()) return { result: 'busy', sentAfterMs: null, endedAfterMs: connectMs }
     return { result: await this.#attempt(order, timeoutMs), sentAfterMs: 0, endedAfterMs: 0 }
   }
 
