--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -185,7 +185,10 @@
 }
 
 function createClock (logger: Logger): Clock {
-  return new ElapsedClock({ recordSuspension: suspension => logger.warn('clock advanced by a suspension of the vm', { ...suspension }) })
+  return new ElapsedClock({
+    recordSuspension: suspension => logger.warn('clock advanced by a suspension of the vm', { ...suspension }),
+    recordForeignUptime: driftMs => logger.warn('uptime is not that of this vm, suspensions are told by the wall clock', { driftMs })
+  })
 }
 
 function createComponents ({ settings, adapters, logger, clock, uptimeMs }: Required<GatewayOptions>): GatewayComponents {
--- a/packages/gateway/src/clock/elapsed-clock.test.ts
+++ b/packages/gateway/src/clock/elapsed-clock.test.ts
@@ -66,6 +66,36 @@
     ])
   })
 
+  // Seen on tmbcb-stats: 7 to 33 s when the time of day was set back, as the uptime was that of the machine below.
+  it('gains no seconds when the wall clock is set back and the uptime is that of another machine', () => {
+    const sources = createSources()
+    const drifts: number[] = []
+    const readers = { readMonotonicMs: () => sources.monotonicMs, readWallMs: () => sources.wallMs, readUptimeMs: () => sources.uptimeMs }
+    const clock = new ElapsedClock({ ...readers, recordForeignUptime: driftMs => { drifts.push(driftMs) } })
+    const before = clock.readNow()
+    for (let second = 0; second < 30; second++) {
+      sources.advance(1_000)
+      sources.uptimeMs += 500
+      clock.readNow()
+    }
+    sources.wallMs -= 1_220
+    expect(clock.readNow() - before).to.equal(30_000)
+    expect(drifts).to.deep.equal([500])
+  })
+
+  it('includes a suspension when the uptime is that of another machine', () => {
+    const sources = createSources()
+    const clock = createClock(sources)
+    const before = clock.readNow()
+    for (let second = 0; second < 3; second++) {
+      sources.advance(1_000)
+      sources.uptimeMs -= 500
+      clock.readNow()
+    }
+    sources.wallMs += 4_000
+    expect(clock.readNow() - before).to.equal(7_000)
+  })
+
   it('never goes backwards when the uptime and the wall clock do', () => {
     const sources = createSources()
     const clock = createClock(sources)
