--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -220,9 +220,10 @@
   const endpoints = createEndpointExchange({ directory, groups, clock, logger })
   const fleetMessageHandler = new FleetMessageHandler({ endpoints, leaving, clock, logger, self, configuration, groups, quotas, burstRecord, members, evacuations })
   const fleet = new Fleet({ state: members, network, store, clock, logger, ...fleetMessageHandler.createHandlers() })
+  const waitClock = new MonotonicClock()
   const claimInquiries: ClaimInquiries = new ClaimInquiries({ store, clock, members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => fleet.send(vm, message) })
-  const claims: DutyClaims = new DutyClaims({ store, clock, logger, vm: settings.vm, incarnation, confirmNoClaims: async (service, epoch) => await claimInquiries.confirmNoClaims(service, epoch) })
-  const host = { clock, logger, vm: settings.vm, control: controlConnections, claims, promoter, ...fleetMessageHandler.createPromotionCallbacks() }
+  const claims: DutyClaims = new DutyClaims({ store, clock, waitClock, logger, vm: settings.vm, incarnation, confirmNoClaims: async (service, epoch) => await claimInquiries.confirmNoClaims(service, epoch) })
+  const host = { clock, waitClock, logger, vm: settings.vm, control: controlConnections, claims, promoter, ...fleetMessageHandler.createPromotionCallbacks() }
   const recordResult = (service: string, result: string): void => metrics.promotions.inc({ service, result })
   const failover = new FailoverWatch({
     clock,
--- a/packages/gateway/src/failover/duty-claim.test.ts
+++ b/packages/gateway/src/failover/duty-claim.test.ts
@@ -37,6 +37,21 @@
     expect(await b.claim('orders')).to.not.equal(null)
   })
 
+  it('are not taken over early by a VM whose elapsed clock gains seconds', async () => {
+    const store = new MemoryStore()
+    const clock = new VirtualClock()
+    const [gaining, waitClock] = [new VirtualClock(), new VirtualClock()]
+    const a = createClaims(store, clock, 'a')
+    const b = new DutyClaims({ store, clock: gaining, waitClock, logger, vm: 'b', incarnation: 1 })
+    const first = (await a.claim('orders'))!
+    expect(await b.claim('orders')).to.equal(null)
+    gaining.nowMs += 33_000
+    expect(a.isUsable(first)).to.equal(true)
+    expect(await b.claim('orders')).to.equal(null)
+    waitClock.nowMs += CLAIM_TAKEOVER_MS
+    expect(await b.claim('orders')).to.not.equal(null)
+  })
+
   it('are not granted while the store is down or if its response is lost', async () => {
     const store = new MemoryStore()
     const a = createClaims(store, new VirtualClock(), 'a')
--- a/packages/gateway/src/failover/fence-group.ts
+++ b/packages/gateway/src/failover/fence-group.ts
@@ -139,7 +139,7 @@
 /** Waits until the lease of the old primary has expired on VMs that did not confirm the revocation, and may still send it statements. */
 export async function waitForLeases (attempt: Attempt, fenced: FencedGroup, fencedAtMs: number): Promise<FencedGroup> {
   const { host, group } = attempt
-  const waitMs = fencedAtMs + LEADER_LEASE_MS - host.clock.readNow()
+  const waitMs = fencedAtMs + LEADER_LEASE_MS - host.waitClock.readNow()
   host.logger.info('waiting for leadership leases to expire', { service: group.service, waitMs: Math.round(waitMs) })
   if (waitMs > 0) await waitFor(waitMs)
   return await verifyFence(attempt, fenced)
--- a/packages/gateway/src/failover/promotion-attempt.ts
+++ b/packages/gateway/src/failover/promotion-attempt.ts
@@ -40,7 +40,10 @@
 
 /** What a promotion needs from the VM that runs it. */
 export interface PromotionHost {
+  /** Advances at least as fast as time passes. */
   clock: Clock
+  /** Advances at most as fast as time passes, for waits until what other VMs hold has ended. */
+  waitClock: Clock
   logger: Logger
   vm: string
   control: ControlConnections
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -180,7 +180,7 @@
   const pendingRevocation = host.revoke(group, attempt.replacedTerm + 1, isPlanned, isPlanned ? PLANNED_REVOKE_TIMEOUT_MS : REVOKE_TIMEOUT_MS)
   if (isPlanned) ensureLatestPrimary(attempt, (await pendingRevocation).latestPrimary)
   let fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
-  const fencedAtMs = host.clock.readNow()
+  const fencedAtMs = host.waitClock.readNow()
   const revocation = await pendingRevocation
   adoptAnnouncedOrder(attempt, revocation.openOrder)
   ensureLatestPrimary(attempt, revocation.latestPrimary, fenced.endpoints)
@@ -190,7 +190,7 @@
   const hasStoppedCommits = !isPlanned || fenced.endpoints.some(f => f.isOldPrimary)
   // Without every acknowledged position, a replica that has just restarted without its log is told only by its entry, which comes later.
   if (!revocation.hasEveryAcknowledgement || !hasStoppedCommits) {
-    fenced = await waitForLeases(attempt, fenced, fencedDepartures.hasPaused ? host.clock.readNow() : fencedAtMs)
+    fenced = await waitForLeases(attempt, fenced, fencedDepartures.hasPaused ? host.waitClock.readNow() : fencedAtMs)
     mergeEndpoints(attempt, revocation)
     fencedDepartures = await fenceDepartures(attempt)
   }
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -154,7 +154,7 @@
     const promoter = new SimulatedPromoter(fleet, this)
     this.#verifier = new LeadershipVerifier({ clock: time, logger: logger.child({ vm: name }), control })
     this.context = this.#createContext(this.#verifier)
-    this.#host = { clock: time, logger: logger.child({ vm: name }), vm: name, control, claims, promoter, ...this.#handler.createPromotionCallbacks() }
+    this.#host = { clock: time, waitClock: time, logger: logger.child({ vm: name }), vm: name, control, claims, promoter, ...this.#handler.createPromotionCallbacks() }
   }
 
   /** Registers endpoints in this VM's view; all of the group by default. */
