--- a/packages/gateway/src/fleet/message-schemas.ts
+++ b/packages/gateway/src/fleet/message-schemas.ts
@@ -1,13 +1,13 @@
 import { logPositionSchema, type LogPosition } from '@camphorpitch/wire'
 import { z } from 'zod'
 import { configurationSchema } from '../configuration/configuration.ts'
-import { endpointListingSchema } from '../directory/endpoint-entry.ts'
+import { endpointListingSchema, MAX_PORT } from '../directory/endpoint-entry.ts'
 
 /** The entry that a VM registers for itself in the store. */
 export const vmEntrySchema = z.object({
   vm: z.string(),
   host: z.string(),
-  port: z.number().int(),
+  port: z.number().int().min(1).max(MAX_PORT),
   failureDomain: z.string(),
   region: z.string(),
   incarnation: z.number(),
