--- a/packages/gateway/src/pool/endpoint-pool.ts
+++ b/packages/gateway/src/pool/endpoint-pool.ts
@@ -7,8 +7,9 @@
 import { createHealth, measureUnansweredMs, recordConnected, recordRefused, recordSent, recordNoResponse, type EndpointHealth } from './endpoint-health.ts'
 import { EndpointScheduler, type SchedulingOptions } from './endpoint-scheduler.ts'
 import { estimateReturnMs, type WorkInHand } from './estimate-return.ts'
-import { PoolError, type PoolRefusal } from './errors.ts'
+import { PoolError, RequestWithdrawnError, type PoolRefusal } from './errors.ts'
 import { PooledConnection } from './pooled-connection.ts'
+import type { Withdrawal } from './withdrawal.ts'
 
 /** Timeout of a connection attempt, in milliseconds. Opening a connection across regions takes tens of milliseconds. */
 const CONNECT_TIMEOUT_MS = 900
@@ -25,6 +26,8 @@
   waitMs: number
   /** Whether another endpoint can serve the request. If so, it is rejected at once when this endpoint accepts no more connections. */
   canUseOtherEndpoint?: boolean
+  /** Ends the wait when the statement is not to be run here any more. */
+  withdrawal?: Withdrawal
 }
 
 interface PendingAcquire {
@@ -139,17 +142,28 @@
    * Waits for a connection. The caller returns it with `release`.
    *
    * @throws PoolError when no connection is available in time; no statement was sent to the endpoint
+   * @throws RequestWithdrawnError when the request was withdrawn
    */
-  async acquire ({ workspace, session, priority, waitMs, canUseOtherEndpoint = false }: AcquireOptions): Promise<PooledConnection> {
+  async acquire ({ workspace, session, priority, waitMs, canUseOtherEndpoint = false, withdrawal }: AcquireOptions): Promise<PooledConnection> {
     if (this.#isStopped) throw new PoolError('endpoint is gone', { props: { refusal: 'gone' } })
     const nowMs = this.#options.clock.readNow()
     this.scheduler?.recordRequest(priority, nowMs)
-    return await new Promise((resolve, reject) => {
-      const id = ++this.#lastId
+    const id = ++this.#lastId
+    const pendingConnection = new Promise<PooledConnection>((resolve, reject) => {
       const timer = setTimeout(() => this.#handleWaitEnd(id), waitMs)
       this.#pendingRequests.set(id, { request: { id, workspace, session, priority, requestedAtMs: nowMs, deadlineMs: nowMs + waitMs }, canUseOtherEndpoint, timer, resolve, reject })
       this.runPlan()
     })
+    const unsubscribe = withdrawal?.subscribe(() => this.#withdrawRequest(id))
+    return await (unsubscribe === undefined ? pendingConnection : pendingConnection.finally(unsubscribe))
+  }
+
+  #withdrawRequest (id: number): void {
+    const pending = this.#pendingRequests.get(id)
+    if (pending === undefined) return
+    this.#pendingRequests.delete(id)
+    clearTimeout(pending.timer)
+    pending.reject(new RequestWithdrawnError('request withdrawn'))
   }
 
   /** Sets whether a transaction's connection waits for its client, which has sent no further statement. */
--- a/packages/gateway/src/pool/errors.ts
+++ b/packages/gateway/src/pool/errors.ts
@@ -8,3 +8,5 @@
 
 /** A pool gave no connection; `refusal` is the reason, and after `retryAfterMs` milliseconds there is likely to be one. */
 export const PoolError = BaseError.subclass('PoolError', { props: { refusal: 'busy' as PoolRefusal, retryAfterMs: 0 } })
+/** The statement ended otherwise while it waited for a connection. */
+export const RequestWithdrawnError = PoolError.subclass('RequestWithdrawnError')
--- a/packages/gateway/src/sessions/decide-statement.test.ts
+++ b/packages/gateway/src/sessions/decide-statement.test.ts
@@ -41,4 +41,18 @@
     decideStatement(state, createStatement({ type: 'begin', isReadOnly: false }))
     expect(decideStatement(state, createStatement({ type: 'begin', isReadOnly: false }))).to.have.nested.property('error.code', 'malformed')
   })
+
+  // Review case 3: a statement that still waited ran with the shape that was prepared after its answer.
+  it('leave what a statement that was sent earlier knows of the session as it was', () => {
+    const state = createSessionState()
+    decideStatement(state, { id: '1', text: 'SET a 1', type: 'setValue', name: 'a', value: '1' })
+    decideStatement(state, { id: '2', text: 'PARSE s READ q1', type: 'prepare', name: 's', mode: 'read', shape: 'q1' })
+    const { sessionValues, preparedStatements } = state
+    decideStatement(state, { id: '3', text: 'SET a 2', type: 'setValue', name: 'a', value: '2' })
+    decideStatement(state, { id: '4', text: 'CLOSE s', type: 'closeStatement', name: 's' })
+    decideStatement(state, { id: '5', text: 'PARSE s WRITE q2', type: 'prepare', name: 's', mode: 'write', shape: 'q2' })
+    expect([...sessionValues]).to.deep.equal([['a', '1']])
+    expect([...preparedStatements]).to.deep.equal([['s', { mode: 'read', shape: 'q1' }]])
+    expect(state.preparedStatements.get('s')).to.deep.equal({ mode: 'write', shape: 'q2' })
+  })
 })
--- a/packages/gateway/src/sessions/decide-statement.ts
+++ b/packages/gateway/src/sessions/decide-statement.ts
@@ -6,8 +6,10 @@
   transaction: TransactionState
   /** Whether the open transaction only reads. */
   isReadOnly: boolean
-  sessionValues: Map<string, string>
-  preparedStatements: Map<string, PreparedStatement>
+  /** Replaced as a whole on each change: statements that were sent keep the values of their time. */
+  sessionValues: ReadonlyMap<string, string>
+  /** As `sessionValues`. */
+  preparedStatements: ReadonlyMap<string, PreparedStatement>
 }
 
 /** What the session does with a statement. */
@@ -73,8 +75,8 @@
 }
 
 function applySessionStatement (state: SessionState, statement: ClientStatement): StatementPlan {
-  if (statement.type === 'setValue') state.sessionValues.set(statement.name, statement.value)
-  else if (statement.type === 'prepare') state.preparedStatements.set(statement.name, { mode: statement.mode, shape: statement.shape })
-  else if (statement.type === 'closeStatement') state.preparedStatements.delete(statement.name)
+  if (statement.type === 'setValue') state.sessionValues = new Map(state.sessionValues).set(statement.name, statement.value)
+  else if (statement.type === 'prepare') state.preparedStatements = new Map(state.preparedStatements).set(statement.name, { mode: statement.mode, shape: statement.shape })
+  else if (statement.type === 'closeStatement') state.preparedStatements = new Map([...state.preparedStatements].filter(([name]) => name !== statement.name))
   return { type: 'answer', error: null }
 }
--- a/packages/gateway/src/statements/run-read.test.ts
+++ b/packages/gateway/src/statements/run-read.test.ts
@@ -100,6 +100,23 @@
     expect(connector.sent).to.deep.equal([])
   })
 
+  // Review case 3: the second attempt ran with what the session had prepared since.
+  it('is not run again at an endpoint that was slow to give it a connection, once another one has answered it', async () => {
+    recordLeadership(group.state, 'p', time.readNow())
+    addSample(group.state, { atMs: time.readNow(), position: { term: 1, index: 1 } })
+    const connections = [await acquire('p'), await acquire('a')]
+    const outcome = runRead(context, group, createOperation(10_000))
+    await time.advance(600)
+    const [first, second] = connections as [PooledConnection, PooledConnection]
+    group.pools.get(first.endpoint)!.release(first, true)
+    await time.advance(50)
+    expect(await outcome).to.have.property('response')
+    group.pools.get(second.endpoint)!.release(second, true)
+    await time.advance(4_000)
+    expect(connector.sent.filter(([text]) => text.endsWith('READ'))).to.have.length(1)
+    expect([...group.pools.values()].map(p => p.pendingRequestCount)).to.deep.equal([0, 0])
+  })
+
   it('requires a position that is fresh enough when it is sent, not when it began to wait for a connection', async () => {
     recordLeadership(group.state, 'p', time.readNow())
     addSample(group.state, { atMs: time.readNow(), position: { term: 1, index: 1 } })
--- a/packages/gateway/src/statements/run-read.ts
+++ b/packages/gateway/src/statements/run-read.ts
@@ -4,8 +4,9 @@
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { isUnreachable, recordBusy } from '../pool/endpoint-health.ts'
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
-import { PoolError } from '../pool/errors.ts'
+import { PoolError, RequestWithdrawnError } from '../pool/errors.ts'
 import type { PooledConnection } from '../pool/pooled-connection.ts'
+import { Withdrawal } from '../pool/withdrawal.ts'
 import { WarmupLimitError } from '../warmup/warmup-limits.ts'
 import { isPrimaryFresh } from '../freshness/group-state.ts'
 import { computeTimeLeftMs, computeWaitMs, createRetryRefusal, readMaxStalenessMs, type Operation, type Outcome } from './operation.ts'
@@ -47,13 +48,22 @@
  * Runs a read outside of a transaction.
  *
  * The read changes nothing, so it may run on several endpoints: after a failed attempt, and also while an endpoint
- * is slow to respond, as far as the group's retry budget allows.
+ * is slow to respond, as far as the group's retry budget allows. Attempts that still wait when the read ends are withdrawn.
  *
  * @returns the first response that is not to be retried, else the last response with an error or a refusal
  */
 export async function runRead (context: StatementContext, group: ServiceGroup, operation: Operation): Promise<Outcome> {
   const refusal = refuseRuledOutRead(context, group, operation)
   if (refusal !== undefined) return refusal
+  const withdrawal = new Withdrawal()
+  try {
+    return await runAttempts(context, group, operation, withdrawal)
+  } finally {
+    withdrawal.withdraw()
+  }
+}
+
+async function runAttempts (context: StatementContext, group: ServiceGroup, operation: Operation, withdrawal: Withdrawal): Promise<Outcome> {
   const { clock } = context
   const triedEndpoints = new Set<string>()
   const pendingAttempts = new Set<Promise<AttemptResult>>()
@@ -67,7 +77,7 @@
     if (typeof target !== 'string') {
       triedEndpoints.add(target.pool.entry.endpoint)
       const waitMs = computeAttemptWaitMs(group, operation, target.pool, { isFirst: attemptCount === 1, wasSent, nowMs: clock.readNow() })
-      pendingAttempts.add(startAttempt(context, group, operation, target, waitMs))
+      pendingAttempts.add(startAttempt(context, group, operation, target, { waitMs, withdrawal }))
     } else if (pendingAttempts.size === 0) return createFailureOutcome(context, group, operation, target, lastResult)
     const resultWaitMs = typeof target === 'string' ? computeTimeLeftMs(operation, clock.readNow()) : computeHedgeDelayMs(target)
     lastResult = await waitForResult(pendingAttempts, resultWaitMs) ?? lastResult
@@ -155,16 +165,19 @@
   return first.result
 }
 
-async function startAttempt (context: StatementContext, group: ServiceGroup, operation: Operation, target: ReadTarget, waitMs: number): Promise<AttemptResult> {
+interface AttemptOptions { waitMs: number, withdrawal: Withdrawal }
+
+async function startAttempt (context: StatementContext, group: ServiceGroup, operation: Operation, target: ReadTarget, { waitMs, withdrawal }: AttemptOptions): Promise<AttemptResult> {
   const { pool } = target
   const { clock } = context
   const selectedAtMs = clock.readNow()
   const { workspace, requiredState, route, statement, preparedName } = operation
   let connection: PooledConnection
   try {
-    connection = await pool.acquire({ workspace, session: requiredState.session, priority: route.priority, waitMs: group.computeMaxWaitMs(pool.entry, waitMs), canUseOtherEndpoint: pool !== group.primaryPool })
+    connection = await pool.acquire({ workspace, session: requiredState.session, priority: route.priority, waitMs: group.computeMaxWaitMs(pool.entry, waitMs), canUseOtherEndpoint: pool !== group.primaryPool, withdrawal })
   } catch (error) {
     if (!(error instanceof PoolError)) throw error
+    if (error instanceof RequestWithdrawnError) return createWithdrawnResult()
     recordReadTime(context, group, operation, target, selectedAtMs, 'busy')
     return createPoolResult(error, pool, clock.readNow())
   }
@@ -182,6 +195,10 @@
     pool.release(connection, true)
     return { kind: 'notRun', reason: `the failure domain of ${pool.entry.endpoint} is evacuated`, code: 'busy', retryAfterMs: RETRY_AFTER_MS }
   }
+  if (withdrawal.isWithdrawn) {
+    pool.release(connection, true)
+    return createWithdrawnResult()
+  }
   context.leaving?.recordSent(group.service, pool)
   const restoreResponses = connection.restoreSession(requiredState, preparedName)
   try {
@@ -203,6 +220,11 @@
   }
 }
 
+/** Creates the result of an attempt that was not sent before the read ended otherwise; nobody waits for it any more. */
+function createWithdrawnResult (): AttemptResult {
+  return { kind: 'notRun', reason: 'the read has ended', code: 'busy', retryAfterMs: RETRY_AFTER_MS }
+}
+
 /** Creates the result of an attempt that got no connection. */
 function createPoolResult ({ message, refusal, retryAfterMs }: InstanceType<typeof PoolError>, { health }: EndpointPool, nowMs: number): AttemptResult {
   return { kind: 'notRun', reason: message, code: 'busy', retryAfterMs, isUnreachable: refusal === 'unreachable' || isUnreachable(health, nowMs) }
