--- a/packages/gateway/src/statements/run-read.ts
+++ b/packages/gateway/src/statements/run-read.ts
@@ -167,11 +167,12 @@
 
 interface AttemptOptions { waitMs: number, withdrawal: Withdrawal }
 
-async function startAttempt (context: StatementContext, group: ServiceGroup, operation: Operation, target: ReadTarget, { waitMs, withdrawal }: AttemptOptions): Promise<AttemptResult> {
+/** Waits until a read may be sent to its target. @returns the connection and the position to require, or the result of an attempt that is not sent */
+async function prepareAttempt (context: StatementContext, group: ServiceGroup, operation: Operation, target: ReadTarget, { waitMs, withdrawal }: AttemptOptions): Promise<{ connection: PooledConnection, requiredPosition: LogPosition | null } | AttemptResult> {
   const { pool } = target
   const { clock } = context
   const selectedAtMs = clock.readNow()
-  const { workspace, requiredState, route, statement, preparedName } = operation
+  const { workspace, requiredState, route } = operation
   let connection: PooledConnection
   try {
     connection = await pool.acquire({ workspace, session: requiredState.session, priority: route.priority, waitMs: group.computeMaxWaitMs(pool.entry, waitMs), canUseOtherEndpoint: pool !== group.primaryPool, withdrawal })
@@ -199,6 +200,17 @@
     pool.release(connection, true)
     return createWithdrawnResult()
   }
+  return { connection, requiredPosition }
+}
+
+async function startAttempt (context: StatementContext, group: ServiceGroup, operation: Operation, target: ReadTarget, options: AttemptOptions): Promise<AttemptResult> {
+  const { pool } = target
+  const { clock } = context
+  const { requiredState, route, statement, preparedName } = operation
+  const selectedAtMs = clock.readNow()
+  const prepared = await prepareAttempt(context, group, operation, target, options)
+  if ('kind' in prepared) return prepared
+  const { connection, requiredPosition } = prepared
   context.leaving?.recordSent(group.service, pool)
   const restoreResponses = connection.restoreSession(requiredState, preparedName)
   try {
