--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -163,6 +163,7 @@
       isDraining = true
       const stop = { clock, logger, startedAtMs: clock.readNow(), graceMs: settings.graceS * MS_PER_SECOND, listSessions: () => [...sessions] }
       const forwarderStop = forwarder.stop()
+      forwarderStop.catch(() => {}) // It is awaited in a later step.
       await drainSessions(stop)
       clearInterval(maintenanceTimer)
       clearInterval(evacuationTimer)
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -178,6 +178,7 @@
   const isPlanned = isPlannedChange(reason)
   await updateTerm(attempt)
   const pendingRevocation = host.revoke(group, attempt.replacedTerm + 1, isPlanned, isPlanned ? PLANNED_REVOKE_TIMEOUT_MS : REVOKE_TIMEOUT_MS)
+  pendingRevocation.catch(() => {}) // It is awaited only after the fence, which may fail first.
   if (isPlanned) ensureLatestPrimary(attempt, (await pendingRevocation).latestPrimary)
   let fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
   const fencedAtMs = host.waitClock.readNow()
--- a/packages/gateway/src/failover/verify-leadership.test.ts
+++ b/packages/gateway/src/failover/verify-leadership.test.ts
@@ -47,6 +47,26 @@
     expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(true)
   })
 
+  // Review case 2: the only proof was in none of the promises that were awaited, and its rejection ended the process.
+  it('rejects no promise that nobody awaits when the only replica has just started and does not follow yet', async () => {
+    const unhandled: unknown[] = []
+    const listeners = process.listeners('unhandledRejection')
+    process.removeAllListeners('unhandledRejection')
+    process.on('unhandledRejection', reason => { unhandled.push(reason) })
+    try {
+      const { group, verifier, clock, connector } = createFixture(Date.now())
+      group.removeEntry('b')
+      connector.statuses.set('a', { term: 0 })
+      await verifier.verifyLeadership(group, 1_000)
+      await new Promise(resolve => setTimeout(resolve, 20))
+      expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(false)
+    } finally {
+      process.removeAllListeners('unhandledRejection')
+      for (const listener of listeners) process.on('unhandledRejection', listener)
+    }
+    expect(unhandled).to.deep.equal([])
+  })
+
   it('does not accept it while another is paused, as it may have lost its pause in a restart that is not registered yet, but does once the pause is old', async () => {
     const { group, verifier, clock, connector } = createFixture()
     connector.statuses.set('a', { pausedForTerm: 2 })
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -115,6 +115,7 @@
       return entry
     }
     const proofs = replicas.map(p => ({ entry: p.entry, proof: verify(p.entry) }))
+    for (const { proof } of proofs) proof.catch(() => {}) // A single proof that does not suffice is not awaited below.
     const sufficientProofs = proofs.filter(v => Date.now() - v.entry.startedAtMs >= RECENT_START_MS).map(v => v.proof)
     try {
       // All replicas together are a sufficient proof even if each has started recently: they did not all lose the information about a pause.
