--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -20,6 +20,7 @@
   warmupRequests: Counter<'service' | 'outcome'>
   waitRefusals: Counter<'service' | 'reason'>
   promotions: Counter<'service' | 'result'>
+  unexpectedErrors: Counter<'origin'>
   sessions: Gauge
   sessionEnds: Counter<'cause'>
   unansweredStatements: Counter<'cause'>
@@ -47,6 +48,7 @@
     warmupRequests: new Counter({ name: 'camphorpitch_gateway_warmup_requests_total', help: 'Requests to endpoints that are warming up, by whether they were permitted', labelNames: ['service', 'outcome'], registers }),
     waitRefusals: new Counter({ name: 'camphorpitch_gateway_wait_refusals_total', help: 'Requests that got no connection to an endpoint, by reason', labelNames: ['service', 'reason'], registers }),
     promotions: new Counter({ name: 'camphorpitch_gateway_promotions_total', help: 'Promotions attempted by this VM', labelNames: ['service', 'result'], registers }),
+    unexpectedErrors: new Counter({ name: 'camphorpitch_gateway_unexpected_errors_total', help: 'Errors that no code has handled: promises that were rejected, and exceptions, after which the process stops', labelNames: ['origin'], registers }),
     sessions: new Gauge({ name: 'camphorpitch_gateway_sessions', help: 'Open client sessions', registers }),
     sessionEnds: new Counter({ name: 'camphorpitch_gateway_session_ends_total', help: 'Ended client sessions, by cause', labelNames: ['cause'], registers }),
     unansweredStatements: new Counter({ name: 'camphorpitch_gateway_unanswered_statements_total', help: 'Statements received but not answered when their session ended, by cause', labelNames: ['cause'], registers }),
