--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -35,6 +35,7 @@
 import { createMemberState, type MemberState } from './fleet/members.ts'
 import type { VmEntry } from './fleet/message-schemas.ts'
 import { GroupTable, type GroupTableOptions } from './groups/group-table.ts'
+import type { ServiceGroup } from './groups/service-group.ts'
 import { BurstRecord } from './limits/burst-record.ts'
 import { CountingVms } from './limits/counting-vms.ts'
 import { PermitClient } from './limits/permit-requests.ts'
@@ -208,10 +209,11 @@
   const recordOpened = (service: string): void => metrics.connectionsOpened.inc({ service })
   const recordRefused: GroupTableOptions['recordRefused'] = (service, reason) => metrics.waitRefusals.inc({ service, reason })
   const checkRole: GroupTableOptions['checkRole'] = (group, entry) => { leadershipVerifier.checkRole(group, entry).catch((error: unknown) => logger.error('endpoint role check failed', { error: String(error) })) }
+  const handleLaterTerm = (group: ServiceGroup): void => { leadershipVerifier.findPrimary(group).catch((error: unknown) => logger.error('search for the primary failed', { error: String(error) })) }
   const servingVms = new ServingVms({ clock, members, configuration, regions: settings.regions })
   const evacuations = new Evacuations({ clock, logger, applyMs: settings.evacuation?.applyMs, gauge: metrics.evacuatedDomains })
   const warmup = createWarmupLimits(settings, { store, clock, logger, members, configuration, directory, metrics, findGroups: () => groups })
-  const groups: GroupTable = new GroupTable({ evacuations, connector, clock, logger, configuration, members, servingVms, recordOpened, recordRefused, checkRole, warmup, scheduling: settings.scheduling === true ? {} : undefined, handleDeparture: group => departureInquiries.schedule(group) })
+  const groups: GroupTable = new GroupTable({ evacuations, connector, clock, logger, configuration, members, servingVms, recordOpened, recordRefused, checkRole, warmup, scheduling: settings.scheduling === true ? {} : undefined, handleDeparture: group => departureInquiries.schedule(group), handleLaterTerm })
   const counting = new CountingVms(members)
   const quotas = new QuotaCounter({ settings, clock, configuration, members, counting, uptimeMs })
   const burstRecord = new BurstRecord({ store, clock, logger, quotas })
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -42,6 +42,8 @@
   warmup?: WarmupLimits
   /** Called if an endpoint has left the group, or if the log ends of departures have become unknown. */
   handleDeparture?: (group: ServiceGroup) => void
+  /** Called when the known primary has responded with a position of a later term: it leads at that term, or follows the primary of that term. */
+  handleLaterTerm?: (group: ServiceGroup) => void
   /** Lists the evacuated failure domains; none by default. */
   listEvacuations?: () => ReadonlyMap<string, ActiveEvacuation>
 }
@@ -368,9 +370,11 @@
   #recordPosition (endpoint: string, sentAtMs: number, position: LogPosition | null, nowMs: number): void {
     const { primary } = this.state
     if (primary?.endpoint !== endpoint) return
-    if (position !== null && position.term > primary.term) this.adoptPrimary(endpoint, position.term, 'answer')
-    recordPrimaryResponse(this.state, endpoint, sentAtMs, position, nowMs)
-    if (position !== null) recordLogEnd(this.departures, position, sentAtMs)
+    // A replica that follows a later primary has positions of its term as well, so the endpoints are asked for their roles.
+    const isOfLaterTerm = position !== null && position.term > primary.term
+    if (isOfLaterTerm) this.#options.handleLaterTerm?.(this)
+    recordPrimaryResponse(this.state, endpoint, sentAtMs, isOfLaterTerm ? null : position, nowMs)
+    if (position !== null && !isOfLaterTerm) recordLogEnd(this.departures, position, sentAtMs)
   }
 
   /** Waits until `isDone` returns true, for at most `waitMs`. It is checked after each change of the group. @returns whether the condition was met */
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -146,7 +146,7 @@
     this.connector = new SimulatedConnector(fleet.group, time, this.process)
     const control = new ControlConnections(this.connector)
     const departureInquiries = new DepartureInquiries({ clock: time, logger: logger.child({ vm: name }), control, members: this.members })
-    this.group = new ServiceGroup({ service: 's', listEvacuations: () => this.evacuations, handleDeparture: group => departureInquiries.schedule(group), connector: new SimulatedStatementConnector(fleet.group, this), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: MAX_OPEN_CONNECTIONS }), recordOpened: () => {} })
+    this.group = new ServiceGroup({ service: 's', listEvacuations: () => this.evacuations, handleDeparture: group => departureInquiries.schedule(group), handleLaterTerm: () => this.findPrimary(), connector: new SimulatedStatementConnector(fleet.group, this), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: MAX_OPEN_CONNECTIONS }), recordOpened: () => {} })
     this.#store = new SimulatedStore(fleet.store.state, { canReach: () => this.isRunning && this.isStoreReachable, drawDelays: () => this.drawStoreDelays(), time, process: this.process })
     const inquiries: ClaimInquiries = new ClaimInquiries({ store: this.#store, clock: time, members: this.members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => this.#send(vm, message) })
     const claims: DutyClaims = new DutyClaims({ store: this.#store, clock: time, logger, vm: name, incarnation: this.members.self.incarnation, confirmNoClaims: async (service, epoch) => await inquiries.confirmNoClaims(service, epoch) })
