Let no call count as pending that was planned and not made

If the record of an order failed, the VM went on telling the claim's object of a call that it had never made, and other VMs waited for it (up to 12.8 s).

--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -61,12 +61,12 @@
 async function sendOrder (attempt: Attempt, entry: EndpointEntry, known: OpenOrder, fenced: readonly FencedEndpoint[]): Promise<void> {
   const { host, group } = attempt
   const openOrder = { ...known, isAccepted: false, waits: 0, calls: known.calls + 1, calledAtMs: Date.now() }
-  if (!await recordOrder(attempt, openOrder)) {
-    host.logger.warn('promotion cancelled, the failover claim has expired', { service: group.service, openOrder: attempt.openOrder })
-    return
-  }
   let result: PromotionResult = 'busy'
   try {
+    if (!await recordOrder(attempt, openOrder)) {
+      host.logger.warn('promotion cancelled, the failover claim has expired', { service: group.service, openOrder: attempt.openOrder })
+      return
+    }
     if (await isSafe(attempt, entry, openOrder, fenced)) result = await sendCall(attempt, entry, openOrder)
   } finally {
     host.claims.endCall(attempt.claim, result === 'unknown')
