--- a/packages/gateway/src/backend/promoter.ts
+++ b/packages/gateway/src/backend/promoter.ts
@@ -8,7 +8,10 @@
   fencingToken: number
 }
 
-/** Result of an order. After `refused` and `busy` nothing was done; `busy` also if the order was not sent. `unknown` when no response came in time. */
+/**
+ * Result of an order. After `refused` and `busy` nothing was done; `busy` also if the order was not sent. `unknown` when no response came in
+ * time.
+ */
 export type PromotionResult = 'accepted' | 'refused' | 'busy' | 'unknown'
 
 /** What became of a call, with times in milliseconds since it was made. */
--- a/packages/gateway/src/clock/elapsed-clock.ts
+++ b/packages/gateway/src/clock/elapsed-clock.ts
@@ -22,7 +22,7 @@
   readUptimeMs?: () => number
   /** Called when the clock advances by a suspension. */
   recordSuspension?: (suspension: Suspension) => void
-  /** Called once when the uptime turns out not to be that of this VM; `driftMs` is what it has gained on the monotonic clock since the check before. */
+  /** Called once when the uptime turns out not to be that of this VM; `driftMs` is what it has gained since the check before. */
   recordForeignUptime?: (driftMs: number) => void
 }
 
@@ -36,13 +36,15 @@
 }
 
 /**
- * Monotonic time that includes suspensions of the VM. It never advances slower than time passes, so that what is held for a time ends in time.
+ * Monotonic time that includes suspensions of the VM. It never advances slower than time passes, so that what is held for a time ends in
+ * time.
  *
  * During a suspension the wall clock advances and the monotonic clock does not. Whenever the offset between the two
  * changes, the uptime is read: it advances during a suspension, and does not jump when the wall clock is set.
  *
- * Node.js reads the uptime from `/proc/uptime`, which may be that of another machine than the one whose clocks the process has. An uptime that
- * drifts away from the monotonic clock while the wall clock does not is not used; then every advance of the wall clock counts as a suspension.
+ * Node.js reads the uptime from `/proc/uptime`, which may be that of another machine than the one whose clocks the process has. An uptime
+ * that drifts away from the monotonic clock while the wall clock does not is not used; then every advance of the wall clock counts as a
+ * suspension.
  *
  * @example new ElapsedClock().readNow() // milliseconds since an arbitrary origin
  */
--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -91,6 +91,8 @@
 /** What the holders of a claim record in its object. */
 type ClaimRecords = Pick<Claim, 'order' | 'formerPrimary' | 'stray' | 'resumedUntilMs' | 'pendingCall'>
 
+const NO_RECORDS: ClaimRecords = { order: null, formerPrimary: null, stray: null, resumedUntilMs: 0, pendingCall: null }
+
 function pickRecords ({ order, formerPrimary, stray, resumedUntilMs, pendingCall }: ClaimRecords): ClaimRecords {
   return { order, formerPrimary, stray, resumedUntilMs, pendingCall }
 }
@@ -162,13 +164,16 @@
     const callDelayMs = this.#calls.measureDelayMs(service, records.pendingCall)
     if (!this.#isFree(service, current) && !await this.#confirmUnclaimed(service, current)) return null
     if (callDelayMs > 0 && records.order === null) {
-      logger.info('failover claim not taken, a call of another vm may still arrive at the platform', { service, callDelayMs, pendingCall: records.pendingCall })
+      const inputs = { service, callDelayMs, pendingCall: records.pendingCall }
+      logger.info('failover claim not taken, a call of another vm may still arrive at the platform', inputs)
       return null
     }
     const observedMs = this.#measureObserved(service, current)
     this.#calls.adopt(service, records.pendingCall)
     const claim = await this.#write(service, current, records)
-    if (claim !== null) logger.info('failover claim taken', { service, fencingToken: claim.fencingToken, previous: describeHolder(current), observedMs, order: claim.order })
+    if (claim === null) return null
+    const { fencingToken, order } = claim
+    logger.info('failover claim taken', { service, fencingToken, previous: describeHolder(current), observedMs, order })
     return claim
   }
 
@@ -271,8 +276,8 @@
   async release (claim: Claim): Promise<void> {
     const { store, clock, logger, incarnation } = this.#options
     this.#held.delete(claim.service)
-    const inputs = { service: claim.service, fencingToken: claim.fencingToken, claimAgeMs: Math.round(clock.readNow() - claim.claimedAtMs), order: claim.order }
-    logger.info('failover claim released', inputs)
+    const { service, fencingToken, order } = claim
+    logger.info('failover claim released', { service, fencingToken, claimAgeMs: Math.round(clock.readNow() - claim.claimedAtMs), order })
     try {
       const released = { holder: null, incarnation, epoch: claim.revision.epoch, ...this.#describeRecords(claim.service, claim) }
       await store.write('duties', formatObjectName(claim.service), released, claim.revision)
@@ -327,7 +332,7 @@
   /** Reads what earlier holders have recorded. In an older copy of the store an order may have been cleared since, and another one recorded. */
   #readRecords (current: StoredObject<unknown> | undefined): ClaimRecords {
     const claim = claimSchema.safeParse(current?.value)
-    if (current === undefined || !claim.success) return { order: null, formerPrimary: null, stray: null, resumedUntilMs: 0, pendingCall: null }
+    if (current === undefined || !claim.success) return NO_RECORDS
     const { order, formerPrimary, stray, resumedUntilMs, pendingCall } = claim.data
     const hasUnreadableOrder = order === null && (current.value as { order?: unknown }).order != null
     if (hasUnreadableOrder) this.#options.logger.warn('promotion order recorded in the failover claim is not readable, it is not waited for', { name: current.name })
@@ -367,9 +372,11 @@
 }
 
 /** Describes for the log who held a claim before, and with which revision. */
-function describeHolder (current: StoredObject<unknown> | undefined): { holder: string | null, incarnation: number, revision: Revision } | null {
+function describeHolder (current: StoredObject<unknown> | undefined): object | null {
   const parsed = claimSchema.safeParse(current?.value)
-  return current === undefined || !parsed.success ? null : { holder: parsed.data.holder, incarnation: parsed.data.incarnation, revision: current.revision }
+  if (current === undefined || !parsed.success) return null
+  const { holder, incarnation } = parsed.data
+  return { holder, incarnation, revision: current.revision }
 }
 
 function computeFencingToken ({ epoch, number }: Revision): number {
--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -40,7 +40,8 @@
     const callDelayMs = isDue ? measureCallDelay(attempt) : 0
     if (isDue && callDelayMs === 0) await sendOrder(attempt, entry, readOrder() ?? openOrder, fenced)
     if (readOrder() === null) return null
-    if (await waitForEffect(attempt, entry, callDelayMs > 0 ? Math.min(callDelayMs, PROMOTION_EFFECT_TIMEOUT_MS) : PROMOTION_EFFECT_TIMEOUT_MS)) return endpoint
+    const effectWaitMs = callDelayMs > 0 ? Math.min(callDelayMs, PROMOTION_EFFECT_TIMEOUT_MS) : PROMOTION_EFFECT_TIMEOUT_MS
+    if (await waitForEffect(attempt, entry, effectWaitMs)) return endpoint
     if (callDelayMs === 0) waits++
     if (attempt.openOrder !== null) attempt.openOrder = { ...attempt.openOrder, waits: attempt.openOrder.waits + 1 }
     const { latestPrimary } = await host.revoke(group, attempt.replacedTerm + 1, false, REVOKE_TIMEOUT_MS)
@@ -80,7 +81,8 @@
 async function isSafe (attempt: Attempt, entry: EndpointEntry, openOrder: OpenOrder, fenced: readonly FencedEndpoint[]): Promise<boolean> {
   const { host, group } = attempt
   const lookedAtMs = host.clock.readNow()
-  if (await isStillSafe(attempt, entry, openOrder.received, fenced) && await hasLog(attempt, entry, openOrder.received, lookedAtMs)) return true
+  const { received } = openOrder
+  if (await isStillSafe(attempt, entry, received, fenced) && await hasLog(attempt, entry, received, lookedAtMs)) return true
   host.logger.warn('promotion order not sent, an endpoint has lost its log or its pause, has joined, or responds late, since they were compared', { service: group.service, openOrder: attempt.openOrder, ...openOrder })
   return false
 }
@@ -89,7 +91,8 @@
   const { host, group } = attempt
   if (!host.claims.isUsable(attempt.claim)) return 'busy' // The checks took too long, or this VM stood still.
   const order = { service: group.service, endpoint: entry.endpoint, holder: host.vm, fencingToken: host.claims.beginCall(attempt.claim) }
-  host.publishOrder(group, { endpoint: entry.endpoint, startedAtMs: openOrder.startedAtMs, replacedTerm: openOrder.replacedTerm, received: openOrder.received, epoch: attempt.claim.revision.epoch })
+  const { startedAtMs, replacedTerm, received } = openOrder
+  host.publishOrder(group, { endpoint: entry.endpoint, startedAtMs, replacedTerm, received, epoch: attempt.claim.revision.epoch })
   const claimAgeMs = Math.round(host.clock.readNow() - attempt.claim.claimedAtMs)
   const { result, ...times } = await host.promoter.promote(order, PROMOTE_TIMEOUT_MS, () => host.claims.isUsable(attempt.claim))
   host.logger.warn('promotion requested', { ...order, result, claimAgeMs, ...times })
--- a/packages/gateway/src/failover/pending-calls.ts
+++ b/packages/gateway/src/failover/pending-calls.ts
@@ -3,7 +3,7 @@
 
 /** The holder of a claim acts on it for at most this long, so that it stops well before another VM may take the claim over. */
 export const CLAIM_VALID_MS = 2_800
-/** Time from the write of a call until the platform has read it, or never does: it may be slow or down, and keep what it has received meanwhile. */
+/** Time from the write of a call until the platform has read it, or never does: it may be slow or down, and keep what it has received. */
 const CALL_TRANSIT_MS = 10_000
 /** Time from the record of a call until it can't arrive any more. It is written while the claim is valid. */
 export const CALL_ARRIVAL_MS = CLAIM_VALID_MS + CALL_TRANSIT_MS
@@ -60,7 +60,7 @@
     this.#options = options
   }
 
-  /** Takes over what the claim's object tells when the claim is taken. A call that another VM has recorded since ends what this VM may repeat. */
+  /** Takes over what the claim's object tells when the claim is taken. A call that another VM has recorded ends what this VM may repeat. */
   adopt (service: string, recorded: PendingCall | null): void {
     if (recorded === null || !this.#isOwn(service, recorded)) this.#own.delete(service)
     if (recorded !== null) this.#measureAgeMs(service, recorded)
@@ -73,7 +73,7 @@
     this.#own.set(service, { number: ++this.#lastNumber, fencingToken, unansweredSinceMs, recordedAtMs: this.#options.waitClock.readNow() })
   }
 
-  /** Begins the planned call. @returns the fencing token to call with: that of an earlier call which may still arrive, or that of the claim */
+  /** Begins the planned call. @returns the token to call with: that of an earlier call which may still arrive, or that of the claim */
   begin (service: string, claimToken: number): number {
     const own = this.#own.get(service)
     const fencingToken = own?.fencingToken ?? claimToken
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -42,7 +42,7 @@
   warmup?: WarmupLimits
   /** Called if an endpoint has left the group, or if the log ends of departures have become unknown. */
   handleDeparture?: (group: ServiceGroup) => void
-  /** Called when the known primary has responded with a position of a later term: it leads at that term, or follows the primary of that term. */
+  /** Called when the known primary has responded with a position of a later term: it leads that term, or follows the primary of it. */
   handleLaterTerm?: (group: ServiceGroup) => void
   /** Lists the evacuated failure domains; none by default. */
   listEvacuations?: () => ReadonlyMap<string, ActiveEvacuation>
--- a/packages/gateway/src/sessions/decide-statement.ts
+++ b/packages/gateway/src/sessions/decide-statement.ts
@@ -75,8 +75,13 @@
 }
 
 function applySessionStatement (state: SessionState, statement: ClientStatement): StatementPlan {
-  if (statement.type === 'setValue') state.sessionValues = new Map(state.sessionValues).set(statement.name, statement.value)
-  else if (statement.type === 'prepare') state.preparedStatements = new Map(state.preparedStatements).set(statement.name, { mode: statement.mode, shape: statement.shape })
-  else if (statement.type === 'closeStatement') state.preparedStatements = new Map([...state.preparedStatements].filter(([name]) => name !== statement.name))
+  const { sessionValues, preparedStatements } = state
+  if (statement.type === 'setValue') state.sessionValues = new Map(sessionValues).set(statement.name, statement.value)
+  else if (statement.type === 'prepare') {
+    const { name, mode, shape } = statement
+    state.preparedStatements = new Map(preparedStatements).set(name, { mode, shape })
+  } else if (statement.type === 'closeStatement') {
+    state.preparedStatements = new Map([...preparedStatements].filter(([name]) => name !== statement.name))
+  }
   return { type: 'answer', error: null }
 }
--- a/packages/gateway/src/statements/run-read.ts
+++ b/packages/gateway/src/statements/run-read.ts
@@ -63,7 +63,12 @@
   }
 }
 
-async function runAttempts (context: StatementContext, group: ServiceGroup, operation: Operation, withdrawal: Withdrawal): Promise<Outcome> {
+async function runAttempts (
+  context: StatementContext,
+  group: ServiceGroup,
+  operation: Operation,
+  withdrawal: Withdrawal
+): Promise<Outcome> {
   const { clock } = context
   const triedEndpoints = new Set<string>()
   const pendingAttempts = new Set<Promise<AttemptResult>>()
@@ -167,15 +172,30 @@
 
 interface AttemptOptions { waitMs: number, withdrawal: Withdrawal }
 
-/** Waits until a read may be sent to its target. @returns the connection and the position to require, or the result of an attempt that is not sent */
-async function prepareAttempt (context: StatementContext, group: ServiceGroup, operation: Operation, target: ReadTarget, { waitMs, withdrawal }: AttemptOptions): Promise<{ connection: PooledConnection, requiredPosition: LogPosition | null } | AttemptResult> {
+interface PreparedAttempt { connection: PooledConnection, requiredPosition: LogPosition | null }
+
+/** Waits until a read may be sent to its target. @returns what it needs, or the result of an attempt that is not sent */
+async function prepareAttempt (
+  context: StatementContext,
+  group: ServiceGroup,
+  operation: Operation,
+  target: ReadTarget,
+  { waitMs, withdrawal }: AttemptOptions
+): Promise<PreparedAttempt | AttemptResult> {
   const { pool } = target
   const { clock } = context
   const selectedAtMs = clock.readNow()
   const { workspace, requiredState, route } = operation
   let connection: PooledConnection
   try {
-    connection = await pool.acquire({ workspace, session: requiredState.session, priority: route.priority, waitMs: group.computeMaxWaitMs(pool.entry, waitMs), canUseOtherEndpoint: pool !== group.primaryPool, withdrawal })
+    connection = await pool.acquire({
+      workspace,
+      session: requiredState.session,
+      priority: route.priority,
+      waitMs: group.computeMaxWaitMs(pool.entry, waitMs),
+      canUseOtherEndpoint: pool !== group.primaryPool,
+      withdrawal
+    })
   } catch (error) {
     if (!(error instanceof PoolError)) throw error
     if (error instanceof RequestWithdrawnError) return createWithdrawnResult()
@@ -203,7 +223,13 @@
   return { connection, requiredPosition }
 }
 
-async function startAttempt (context: StatementContext, group: ServiceGroup, operation: Operation, target: ReadTarget, options: AttemptOptions): Promise<AttemptResult> {
+async function startAttempt (
+  context: StatementContext,
+  group: ServiceGroup,
+  operation: Operation,
+  target: ReadTarget,
+  options: AttemptOptions
+): Promise<AttemptResult> {
   const { pool } = target
   const { clock } = context
   const { requiredState, route, statement, preparedName } = operation
--- a/packages/gateway/src/testing/simulated-platform.ts
+++ b/packages/gateway/src/testing/simulated-platform.ts
@@ -86,7 +86,8 @@
 
   #checkCrossing (order: PromotionOrder): void {
     // An endpoint that has started since its order was sent is not promoted by it.
-    const canTakeEffect = ({ order: { endpoint }, sentWallMs }: OpenOrder): boolean => this.promotesRestarted || (this.#group.endpoints.get(endpoint)?.startedAtMs ?? Infinity) <= sentWallMs
+    const readStart = (endpoint: string): number => this.#group.endpoints.get(endpoint)?.startedAtMs ?? Infinity
+    const canTakeEffect = (o: OpenOrder): boolean => this.promotesRestarted || readStart(o.order.endpoint) <= o.sentWallMs
     const other = [...this.#open].find(o => o.order.service === order.service && o.order.endpoint !== order.endpoint && canTakeEffect(o))
     if (other === undefined) return
     const ageMs = Math.round(this.#time.readNow() - other.sentAtMs)
--- a/packages/wire/src/process/unexpected-errors.ts
+++ b/packages/wire/src/process/unexpected-errors.ts
@@ -11,8 +11,8 @@
 /**
  * Handles errors that no other code has handled. Each is logged whole and counted.
  *
- * After a promise that rejects without a handler the process goes on: the code that ran ended at an `await`, and nobody relies on its result. An
- * exception that leaves an event handler or a timer may have left state half changed, so the process stops, as it does at SIGTERM.
+ * After a promise that rejects without a handler the process goes on: the code that ran ended at an `await`, and nobody relies on its
+ * result. An exception that leaves an event handler or a timer may have left state half changed, so the process stops, as at SIGTERM.
  *
  * @example handleUnexpectedErrors({ logger, recordError: origin => counter.inc({ origin }), stop: beginShutdown })
  */
