--- a/packages/gateway/src/clock/elapsed-clock.ts
+++ b/packages/gateway/src/clock/elapsed-clock.ts
@@ -36,15 +36,14 @@
 }
 
 /**
- * Monotonic time that includes suspensions of the VM. It never advances slower than time passes, so that what is held for a time ends in
- * time.
+ * Monotonic time that includes suspensions of the VM, so that what is held for a time ends in time. It may advance faster than time passes.
  *
  * During a suspension the wall clock advances and the monotonic clock does not. Whenever the offset between the two
  * changes, the uptime is read: it advances during a suspension, and does not jump when the wall clock is set.
  *
  * Node.js reads the uptime from `/proc/uptime`, which may be that of another machine than the one whose clocks the process has. An uptime
  * that drifts away from the monotonic clock while the wall clock does not is not used; then every advance of the wall clock counts as a
- * suspension.
+ * suspension, and one during which the wall clock is set back is missed.
  *
  * @example new ElapsedClock().readNow() // milliseconds since an arbitrary origin
  */
