--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -19,6 +19,7 @@
   removeExpiredLapsedEntries,
   type DirectoryState
 } from './directory/directory.ts'
+import { InvalidEntries } from './directory/invalid-entries.ts'
 import { drainSessions, finishSessions } from './drain/drain.ts'
 import { runStopSteps } from './drain/stop-steps.ts'
 import { endEvacuatedTransactions } from './evacuation/end-transactions.ts'
@@ -305,6 +306,7 @@
     metrics.storeEpochChanges.inc()
     recordOlderCopy(directory, clock.readNow())
   })
+  const invalidEntries = new InvalidEntries(logger)
   const endpointsWatch = watchKind({
     store,
     logger,
@@ -312,8 +314,14 @@
     handleStoreRecovery,
     pauseMs: ENDPOINTS_WATCH_PAUSE_MS,
     rapidPauseMs: ENDPOINTS_RAPID_PAUSE_MS,
-    applyListing: listing => groups.applyChanges(applyListing(directory, listing, clock.readNow())),
-    applyChanges: (changes, asOf) => groups.applyChanges(applyChanges(directory, changes, asOf, clock.readNow()))
+    applyListing: listing => {
+      invalidEntries.report(listing.items)
+      groups.applyChanges(applyListing(directory, listing, clock.readNow()))
+    },
+    applyChanges: (changes, asOf) => {
+      invalidEntries.report(changes.filter(c => !c.isRemoved).map(c => c.object))
+      groups.applyChanges(applyChanges(directory, changes, asOf, clock.readNow()))
+    }
   })
   const configurationWatch = watchKind({
     store,
