--- a/packages/gateway/src/failover/duty-claim.test.ts
+++ b/packages/gateway/src/failover/duty-claim.test.ts
@@ -2,8 +2,8 @@
 import { expect } from 'chai'
 import { MemoryStore, MemoryStoreState, type StoreCopy } from '../testing/memory-store.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
-import { CLAIM_TAKEOVER_MS, DutyClaims, type Claim, type DutyClaimsOptions } from './duty-claim.ts'
-import { CLAIM_VALID_MS } from './pending-calls.ts'
+import { DutyClaims, type Claim, type DutyClaimsOptions } from './duty-claim.ts'
+import { CLAIM_TAKEOVER_MS, CLAIM_VALID_MS } from './claim-times.ts'
 
 const logger = createLogger({ process: 'test', level: 'silent' })
 
--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -3,10 +3,8 @@
 import { MetadataError, RevisionConflictError } from '../metadata/errors.ts'
 import type { MetadataStore, StoredObject } from '../metadata/metadata-store.ts'
 import { isSameRevision, type Revision } from '../metadata/revision.ts'
-import { CLAIM_VALID_MS, pendingCallSchema, PendingCalls, type PendingCall } from './pending-calls.ts'
-
-/** Another VM may take over a claim that it has seen unchanged for this long. */
-export const CLAIM_TAKEOVER_MS = 4_000
+import { CLAIM_TAKEOVER_MS, CLAIM_VALID_MS } from './claim-times.ts'
+import { pendingCallSchema, PendingCalls, type PendingCall } from './pending-calls.ts'
 
 const OBJECT_NAME_PREFIX = 'failover-'
 /** Number of fencing tokens per epoch of the store; larger than any revision number. */
--- a/packages/gateway/src/failover/pending-calls.test.ts
+++ b/packages/gateway/src/failover/pending-calls.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { VirtualClock } from '../testing/virtual-clock.ts'
-import { CALL_ARRIVAL_MS, PendingCalls, type PendingCall } from './pending-calls.ts'
+import { CALL_ARRIVAL_MS } from './claim-times.ts'
+import { PendingCalls, type PendingCall } from './pending-calls.ts'
 
 describe('calls that may still arrive', () => {
   const clock = new VirtualClock()
--- a/packages/gateway/src/failover/promotion-orders-in-drills.test.ts
+++ b/packages/gateway/src/failover/promotion-orders-in-drills.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { SimulatedFleet, type SimulatedVm } from '../testing/simulated-vm.ts'
-import { CLAIM_TAKEOVER_MS } from './duty-claim.ts'
+import { CLAIM_TAKEOVER_MS } from './claim-times.ts'
 
 const STEP_MS = 20
 
