Let an endpoint's own word replace a wrong primary of the same term

What callers saw: on a VM that had taken a replica for the primary of a term (by the report of a VM of an earlier build, or a belief of any other origin), stale reads or refused writes until the next change of primary.

Cause: information on a term that is known already was ignored whoever gave it, so neither a role check nor another VM's report ended a wrong belief.

Evidence: two new tests of `service-group.test.ts` failed before: `is replaced by an endpoint that itself tells that it leads that term, whatever other VMs have reported` and `has the endpoints asked for their roles when another VM knows another one for its term, until one has told that it leads`.

Why this works: at most one endpoint leads a term, and only it says so. Its word replaces a belief that rests on others' beliefs, and ends the lease of the other one. A contradicting report has the endpoints asked, unless the known primary has given its word. The contradiction is logged.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -210,11 +210,11 @@
   const recordOpened = (service: string): void => metrics.connectionsOpened.inc({ service })
   const recordRefused: GroupTableOptions['recordRefused'] = (service, reason) => metrics.waitRefusals.inc({ service, reason })
   const checkRole: GroupTableOptions['checkRole'] = (group, entry) => { leadershipVerifier.checkRole(group, entry).catch((error: unknown) => logger.error('endpoint role check failed', { error: String(error) })) }
-  const handleLaterTerm = createLaterTermHandler(leadershipVerifier, logger)
+  const handlePrimaryDoubt = createPrimaryDoubtHandler(leadershipVerifier, logger)
   const servingVms = new ServingVms({ clock, members, configuration, regions: settings.regions })
   const evacuations = new Evacuations({ clock, logger, applyMs: settings.evacuation?.applyMs, gauge: metrics.evacuatedDomains })
   const warmup = createWarmupLimits(settings, { store, clock, logger, members, configuration, directory, metrics, findGroups: () => groups })
-  const groups: GroupTable = new GroupTable({ evacuations, connector, clock, logger, configuration, members, servingVms, recordOpened, recordRefused, checkRole, warmup, scheduling: settings.scheduling === true ? {} : undefined, handleDeparture: group => departureInquiries.schedule(group), handleLaterTerm })
+  const groups: GroupTable = new GroupTable({ evacuations, connector, clock, logger, configuration, members, servingVms, recordOpened, recordRefused, checkRole, warmup, scheduling: settings.scheduling === true ? {} : undefined, handleDeparture: group => departureInquiries.schedule(group), handlePrimaryDoubt })
   const counting = new CountingVms(members)
   const quotas = new QuotaCounter({ settings, clock, configuration, members, counting, uptimeMs })
   const burstRecord = new BurstRecord({ store, clock, logger, quotas })
@@ -256,8 +256,8 @@
   return { settings, adapters, logger, clock, metrics, configuration, directory, members, groups, quotas, permits, burstRecord, leadershipVerifier, network, fleet, failover, evacuations, forwarder, leaving }
 }
 
-/** Has the endpoints of a group asked for their roles when the known primary has a position of a later term. */
-function createLaterTermHandler (verifier: LeadershipVerifier, logger: Logger): (group: ServiceGroup) => void {
+/** Has the endpoints of a group asked for their roles when the known primary is contradicted. */
+function createPrimaryDoubtHandler (verifier: LeadershipVerifier, logger: Logger): (group: ServiceGroup) => void {
   return group => {
     verifier.findPrimary(group).catch((error: unknown) => logger.error('search for the primary failed', { error: String(error) }))
   }
--- a/packages/gateway/src/failover/check-leadership.ts
+++ b/packages/gateway/src/failover/check-leadership.ts
@@ -13,7 +13,7 @@
 export function ensureNotReplaced (attempt: Attempt, statuses: ReadonlyArray<{ entry: EndpointResult['entry'] | { endpoint: string }, status: EndpointStatus }>): void {
   const { group, term, knownPrimary, oldPrimary } = attempt
   const leading = statuses.find(({ entry, status }) => status.role === 'primary' && status.term > (knownPrimary?.term ?? 0) && (entry !== oldPrimary || status.term >= term))
-  if (leading !== undefined) group.adoptPrimary(leading.entry.endpoint, leading.status.term, 'promotion attempt')
+  if (leading !== undefined) group.adoptPrimary(leading.entry.endpoint, leading.status.term, 'promotion attempt', true)
   const newer = statuses.find(({ status }) => isNewer(status, term))
   if (leading === undefined && newer === undefined) return
   if (leading === undefined && group.state.primary?.term === knownPrimary?.term) group.resetPrimary()
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -91,7 +91,7 @@
   /** Requests the role of one endpoint and records it if it is primary. @returns `null` if it did not respond */
   async checkRole (group: ServiceGroup, entry: EndpointEntry): Promise<'primary' | 'replica' | null> {
     const status = await this.#findStatus(entry)
-    if (status?.role === 'primary') group.adoptPrimary(entry.endpoint, status.term, 'role check')
+    if (status?.role === 'primary') group.adoptPrimary(entry.endpoint, status.term, 'role check', true)
     return status?.role ?? null
   }
 
--- a/packages/gateway/src/fleet/group-reports.ts
+++ b/packages/gateway/src/fleet/group-reports.ts
@@ -36,7 +36,8 @@
   const { state } = group
   const latestKnown = state.primary ?? group.formerPrimary
   const isNewerTerm = report.term > (latestKnown?.term ?? 0)
-  if (isNewerTerm) group.adoptPrimary(report.primary, report.term, `vm ${vm}`)
+  const isContradicting = state.primary?.term === report.term && state.primary.endpoint !== report.primary
+  if (isNewerTerm || isContradicting) group.adoptPrimary(report.primary, report.term, `vm ${vm}`)
   if (state.primary?.endpoint !== report.primary) return
   if (report.leadershipAgeMs !== null) recordLeadership(state, report.primary, pollSentAtMs - report.leadershipAgeMs)
   if (report.sample !== null) addSample(state, { atMs: pollSentAtMs - report.sample.ageMs, position: report.sample.position })
--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -39,6 +39,8 @@
 export interface GroupState {
   service: string
   primary: KnownPrimary | null
+  /** Whether the known primary itself has told that it leads its term; else that rests on what other VMs believe, or on the directory. */
+  isPrimaryConfirmed: boolean
   /** End of the leadership lease. Until then no other primary acknowledges a write, so reads from the primary are fresh, and its commits are kept. */
   leadershipLeaseEndsMs: number
   /**
@@ -76,6 +78,7 @@
   return {
     service,
     primary: null,
+    isPrimaryConfirmed: false,
     leadershipLeaseEndsMs: -Infinity,
     completionEndsMs: -Infinity,
     verifiedAtMs: -Infinity,
@@ -94,23 +97,27 @@
 }
 
 /**
- * Records which endpoint leads at a term. Information of an older term is ignored.
+ * Records which endpoint leads at a term. Information of an older term is ignored. For the same term, only the word of an endpoint that it
+ * leads replaces another one, which others have taken for the primary by mistake.
  *
  * @param term 0 while the term is not known
+ * @param isOwnWord whether the endpoint itself has told that it leads
  * @returns whether the known primary or its term changed
  */
-export function updatePrimary (state: GroupState, endpoint: string, term: number): boolean {
+export function updatePrimary (state: GroupState, endpoint: string, term: number, isOwnWord = false): boolean {
   const { primary } = state
   if (primary !== null && term < primary.term) return false
   if (primary?.endpoint === endpoint) {
     const isNewer = term > primary.term
+    state.isPrimaryConfirmed = isOwnWord || (state.isPrimaryConfirmed && !isNewer)
     const hadTerm = primary.term > 0
     primary.term = term
     if (isNewer && hadTerm) resetLeadership(state)
     return isNewer
   }
-  if (primary !== null && term === primary.term && term > 0) return false
+  if (primary !== null && term === primary.term && term > 0 && (!isOwnWord || state.isPrimaryConfirmed)) return false
   state.primary = { endpoint, term }
+  state.isPrimaryConfirmed = isOwnWord
   resetLeadership(state)
   return true
 }
--- a/packages/gateway/src/groups/service-group.test.ts
+++ b/packages/gateway/src/groups/service-group.test.ts
@@ -2,6 +2,8 @@
 import { expect } from 'chai'
 import type { EndpointConnector, EndpointResponse } from '../backend/endpoint-connector.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
+import { applyGroupReport } from '../fleet/group-reports.ts'
+import type { GroupReport } from '../fleet/message-schemas.ts'
 import { hasLeadershipLease, recordLeadership } from '../freshness/group-state.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
 import { ServiceGroup } from './service-group.ts'
@@ -15,7 +17,7 @@
     const inquiries: string[] = []
     const clock = new VirtualClock()
     clock.nowMs = 10_000
-    const group = new ServiceGroup({ service: 's', connector: {} as EndpointConnector, clock, logger: createLogger({ process: 'test', level: 'silent' }), readLimits: () => ({ retainedConnections: 1, maxOpenConnections: 1 }), recordOpened: () => {}, handleLaterTerm: g => inquiries.push(g.service) })
+    const group = new ServiceGroup({ service: 's', connector: {} as EndpointConnector, clock, logger: createLogger({ process: 'test', level: 'silent' }), readLimits: () => ({ retainedConnections: 1, maxOpenConnections: 1 }), recordOpened: () => {}, handlePrimaryDoubt: g => inquiries.push(g.service) })
     group.updateEntry(entry)
     group.updateEntry({ ...entry, endpoint: 'a', role: 'replica' })
     group.adoptPrimary('p', 2, 'test')
@@ -46,6 +48,29 @@
     expect(hasLeadershipLease(group.state, 'p', clock.nowMs)).to.equal(false)
   })
 
+  // A VM that knows a wrong one by the report of another VM, or by an outcome, held on to it until the next term.
+  it('is replaced by an endpoint that itself tells that it leads that term, whatever other VMs have reported', async () => {
+    const { group, clock } = createGroup()
+    group.adoptPrimary('p', 3, 'vm of an earlier build')
+    recordLeadership(group.state, 'p', clock.nowMs)
+    group.adoptPrimary('a', 3, 'role check', true)
+    expect(group.state.primary).to.deep.equal({ endpoint: 'a', term: 3 })
+    expect(hasLeadershipLease(group.state, 'p', clock.nowMs)).to.equal(false)
+    group.adoptPrimary('p', 3, 'vm of an earlier build')
+    expect(group.state.primary).to.deep.equal({ endpoint: 'a', term: 3 })
+  })
+
+  it('has the endpoints asked for their roles when another VM knows another one for its term, until one has told that it leads', async () => {
+    const { group, inquiries } = createGroup()
+    const report: GroupReport = { service: 's', primary: 'a', term: 2, leadershipAgeMs: 0, sample: null, acknowledged: null, acknowledgedAgeMs: null, primaryResponseAgeMs: 0, pendingWriteAgeMs: 0 }
+    applyGroupReport(group, 'vm-2', report, 10_000)
+    expect(group.state.primary).to.deep.equal({ endpoint: 'p', term: 2 })
+    expect(inquiries).to.deep.equal(['s'])
+    group.adoptPrimary('p', 2, 'role check', true)
+    applyGroupReport(group, 'vm-2', report, 10_000)
+    expect(inquiries).to.deep.equal(['s'])
+  })
+
   it('is asked for nothing while its positions are of the term that it leads', async () => {
     const { group, inquiries } = createGroup()
     await respond(group, 'p', 2)
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -42,8 +42,8 @@
   warmup?: WarmupLimits
   /** Called if an endpoint has left the group, or if the log ends of departures have become unknown. */
   handleDeparture?: (group: ServiceGroup) => void
-  /** Called when the known primary has responded with a position of a later term: it leads that term, or follows the primary of it. */
-  handleLaterTerm?: (group: ServiceGroup) => void
+  /** Called when the known primary is contradicted: by its own position of a later term, or by a VM that knows another one for its term. */
+  handlePrimaryDoubt?: (group: ServiceGroup) => void
   /** Lists the evacuated failure domains; none by default. */
   listEvacuations?: () => ReadonlyMap<string, ActiveEvacuation>
 }
@@ -216,7 +216,7 @@
 
   /** Records the end of the primary's log in its response to a status request that was sent at `sentAtMs`. */
   recordPrimaryStatus (endpoint: string, { term, received }: Pick<EndpointStatus, 'term' | 'received'>, sentAtMs: number): void {
-    this.adoptPrimary(endpoint, term, 'status')
+    this.adoptPrimary(endpoint, term, 'status', true)
     if (this.state.primary?.endpoint === endpoint && this.state.primary.term === term) recordLogEnd(this.departures, received, sentAtMs)
   }
 
@@ -230,10 +230,13 @@
    *
    * @param term 0 if the term is not known
    * @param source where the information comes from, for the log
+   * @param isOwnWord whether the endpoint itself has told that it leads
    */
-  adoptPrimary (endpoint: string, term: number, source: string): void {
+  adoptPrimary (endpoint: string, term: number, source: string, isOwnWord = false): void {
     const previous = this.state.primary === null ? null : { ...this.state.primary }
-    if (!updatePrimary(this.state, endpoint, term)) return
+    const isContradicting = term > 0 && previous?.term === term && previous.endpoint !== endpoint
+    if (isContradicting && !isOwnWord && !this.state.isPrimaryConfirmed) this.#reportDoubt(endpoint, term, source)
+    if (!updatePrimary(this.state, endpoint, term, isOwnWord)) return
     if (previous?.endpoint !== endpoint) {
       this.primarySinceMs = this.#options.clock.readNow()
       this.unansweredWriteSinceMs = null
@@ -247,6 +250,13 @@
     this.#publishChange()
   }
 
+  /** Has the endpoints asked for their roles, because what this VM knows of the primary is contradicted. */
+  #reportDoubt (endpoint: string, term: number, source: string): void {
+    const { logger, handlePrimaryDoubt } = this.#options
+    logger.info('known primary contradicted', { service: this.service, endpoint, term, source, primary: this.state.primary })
+    handlePrimaryDoubt?.(this)
+  }
+
   /** Records that the known primary no longer leads and that no other endpoint is known to. */
   resetPrimary (): void {
     const { primary } = this.state
@@ -372,7 +382,7 @@
     if (primary?.endpoint !== endpoint) return
     // A replica that follows a later primary has positions of its term as well, so the endpoints are asked for their roles.
     const isOfLaterTerm = position !== null && position.term > primary.term
-    if (isOfLaterTerm) this.#options.handleLaterTerm?.(this)
+    if (isOfLaterTerm) this.#options.handlePrimaryDoubt?.(this)
     recordPrimaryResponse(this.state, endpoint, sentAtMs, isOfLaterTerm ? null : position, nowMs)
     if (position !== null && !isOfLaterTerm) recordLogEnd(this.departures, position, sentAtMs)
   }
