Take no late word of a replica for that of the known primary

What callers saw: refused writes and reads of primary routes right after a change of primary, and a further change that nothing called for.

Cause: a search for the primary compared the roles that endpoints had told with the primary that was known once all had answered. An endpoint that was promoted meanwhile had told `replica` before, and was dropped. Roles were also matched by position among the endpoints, which shifts when one leaves.

Evidence: `keeps an endpoint that has become the primary since it was asked, although it told then that it was a replica` and `does not take the role of another endpoint for that of the known primary when an endpoint has left the group since they were asked` failed before.

Why this works: roles are kept by endpoint, and a search ends only the belief that held when it began.

--- a/packages/gateway/src/failover/verify-leadership.test.ts
+++ b/packages/gateway/src/failover/verify-leadership.test.ts
@@ -16,11 +16,15 @@
 class FakeConnector extends EndpointConnector {
   readonly statuses = new Map<string, Partial<EndpointStatus>>()
   readonly silent = new Set<string>()
+  /** Endpoints whose responses arrive only when this resolves; they tell what held when they were asked. */
+  readonly held = new Map<string, Promise<void>>()
 
   override async connect ({ endpoint }: { endpoint: string }): Promise<EndpointConnection> {
     const readStatus = async (): Promise<EndpointStatus> => {
       if (this.silent.has(endpoint)) throw new ConnectionLostError('endpoint does not respond')
-      return { role: 'replica', term: 1, received: { term: 1, index: 5 }, pausedForTerm: 0, lagMs: 0, ...this.statuses.get(endpoint) }
+      const status: EndpointStatus = { role: 'replica', term: 1, received: { term: 1, index: 5 }, pausedForTerm: 0, lagMs: 0, ...this.statuses.get(endpoint) }
+      await this.held.get(endpoint)
+      return status
     }
     return { readStatus, subscribeClose: () => {}, close: () => {} } as unknown as EndpointConnection
   }
@@ -153,6 +157,39 @@
     expect(group.state.primary).to.equal(null)
   })
 
+  /** Has the response of an endpoint wait. @returns what lets it arrive */
+  function hold (connector: FakeConnector, endpoint: string): () => void {
+    let release = (): void => {}
+    connector.held.set(endpoint, new Promise(resolve => { release = resolve }))
+    return () => release()
+  }
+
+  it('keeps an endpoint that has become the primary since it was asked, although it told then that it was a replica', async () => {
+    const { group, verifier, connector } = createFixture()
+    connector.statuses.set('p', { role: 'replica' })
+    const release = hold(connector, 'b')
+    const search = verifier.findPrimary(group)
+    await new Promise(resolve => setTimeout(resolve, 5))
+    group.adoptPrimary('b', 2, 'promoted')
+    release()
+    await search
+    expect(group.state.primary).to.deep.equal({ endpoint: 'b', term: 2 })
+  })
+
+  it('does not take the role of another endpoint for that of the known primary when an endpoint has left the group since they were asked', async () => {
+    const { group, verifier, connector } = createFixture()
+    group.removeEntry('p')
+    group.updateEntry({ endpoint: 'p', service: 's', address: '127.0.0.1:2', failureDomain: 'north', role: 'primary', isDraining: false, slots: 3, warmupLeftMs: 0, startedAtMs: 0 })
+    connector.silent.add('p')
+    const release = hold(connector, 'b')
+    const search = verifier.findPrimary(group)
+    await new Promise(resolve => setTimeout(resolve, 5))
+    group.removeEntry('a')
+    release()
+    await search
+    expect(group.state.primary).to.deep.equal({ endpoint: 'p', term: 1 })
+  })
+
   it('keeps the known primary while a promotion is in progress', async () => {
     const { group, verifier, clock, connector } = createFixture()
     revokeLeadership(group.state, 'p', 2, clock.nowMs)
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -1,6 +1,6 @@
 import { describeError, type Clock, type Logger } from '@camphorpitch/wire'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { isLeadershipRevoked, recordPrimaryResponse, recordVerification } from '../freshness/group-state.ts'
+import { isLeadershipRevoked, recordPrimaryResponse, recordVerification, type KnownPrimary } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { recordContact } from '../pool/endpoint-health.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
@@ -79,12 +79,15 @@
   /** Requests the role of all endpoints and records the primary. Resets the known primary if it is now a replica and no endpoint leads. */
   async findPrimary (group: ServiceGroup): Promise<void> {
     await this.#runOnce(`find ${group.service}`, async () => {
-      const roles = await Promise.all([...group.pools.values()].map(async p => await this.checkRole(group, p.entry)))
-      const hasLeader = roles.includes('primary')
-      const primaryIndex = [...group.pools.keys()].indexOf(group.state.primary?.endpoint ?? '')
+      const asked = copyPrimary(group)
+      const roles = new Map<string, 'primary' | 'replica' | null>()
+      await Promise.all([...group.pools].map(async ([endpoint, { entry }]) => { roles.set(endpoint, await this.checkRole(group, entry)) }))
+      const hasLeader = [...roles.values()].includes('primary')
       // During a promotion no endpoint leads for a moment; its outcome will tell the new primary.
       const isBeingReplaced = isLeadershipRevoked(group.state, this.#options.clock.readNow())
-      if (!hasLeader && !isBeingReplaced && roles[primaryIndex] === 'replica') group.resetPrimary()
+      // An endpoint that has become the primary meanwhile may have told its role before.
+      const isSamePrimary = isKnownPrimary(group, asked)
+      if (!hasLeader && !isBeingReplaced && isSamePrimary && roles.get(asked?.endpoint ?? '') === 'replica') group.resetPrimary()
     })
   }
 
@@ -179,3 +182,12 @@
     await pendingQuery
   }
 }
+
+function copyPrimary ({ state: { primary } }: ServiceGroup): KnownPrimary | null {
+  return primary === null ? null : { ...primary }
+}
+
+/** Whether the known primary and its term are still those of `asked`. */
+function isKnownPrimary ({ state: { primary } }: ServiceGroup, asked: KnownPrimary | null): boolean {
+  return primary?.endpoint === asked?.endpoint && primary?.term === asked?.term
+}
