Let replicas prove the leadership only of the primary that they were asked about

What callers saw: nothing yet; two ways to a lease that is not proved, and so to stale reads.

Cause: a verification compared the replicas' terms with the primary that was known when each answered, and recorded the proof for the one known when it began. If the primary changed meanwhile, the time of the proof counted for the new one, whose commits then extended a lease without a proof of its own. And while the term of a registered primary is not known, a replica that has not joined the group, and so has no term, counted as one that follows.

Evidence: `proves nothing of a primary that became known after the replicas were asked, although one of them follows its term` and `proves nothing of a primary whose term is not known, although a replica that has not joined the group has no term either` failed before.

Why this works: endpoint and term are copied when the replicas are asked, all answers are compared with them, and the proof counts only if they are still known. Without a term nothing is proved.

--- a/packages/gateway/src/failover/verify-leadership.test.ts
+++ b/packages/gateway/src/failover/verify-leadership.test.ts
@@ -164,6 +164,30 @@
     return () => release()
   }
 
+  it('proves nothing of a primary that became known after the replicas were asked, although one of them follows its term', async () => {
+    const { group, verifier, connector, clock } = createFixture()
+    for (const endpoint of ['a', 'b']) connector.statuses.set(endpoint, { term: 2 })
+    const release = hold(connector, 'b')
+    connector.silent.add('a')
+    group.state.replicaStartNoticedAtMs = clock.nowMs
+    const verification = verifier.verifyLeadership(group, 1_000)
+    await new Promise(resolve => setTimeout(resolve, 5))
+    group.adoptPrimary('a', 2, 'promoted')
+    release()
+    await verification
+    expect(group.state.verifiedAtMs).to.equal(-Infinity)
+  })
+
+  it('proves nothing of a primary whose term is not known, although a replica that has not joined the group has no term either', async () => {
+    const { group, verifier, connector, clock } = createFixture()
+    group.resetPrimary()
+    group.formerPrimary = null
+    updatePrimary(group.state, 'p', 0)
+    for (const endpoint of ['p', 'a', 'b']) connector.statuses.set(endpoint, { term: 0 })
+    await verifier.verifyLeadership(group, 1_000)
+    expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(false)
+  })
+
   it('keeps an endpoint that has become the primary since it was asked, although it told then that it was a replica', async () => {
     const { group, verifier, connector } = createFixture()
     connector.statuses.set('p', { role: 'replica' })
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -99,12 +99,13 @@
   }
 
   async #verifyWithReplicas (group: ServiceGroup): Promise<void> {
-    const primary = group.state.primary
+    const primaryEntry = group.primaryPool?.entry
+    if (group.state.primary?.term === 0 && primaryEntry !== undefined) await this.checkRole(group, primaryEntry)
+    const primary = copyPrimary(group)
     const sentAtMs = this.#options.clock.readNow()
     const pools = [...group.pools.values()]
-    if (primary === null || pools.length === 0) return
-    const primaryEntry = group.primaryPool?.entry
-    if (primary.term === 0 && primaryEntry !== undefined) await this.checkRole(group, primaryEntry)
+    // Without a term, a replica that has not joined the group yet would count as one that follows.
+    if (primary === null || primary.term === 0 || pools.length === 0) return
     const replicas = pools.filter(p => p.entry.endpoint !== primary.endpoint)
     const paused = new Map<string, number>()
     const unpaused = new Set<string>()
@@ -112,9 +113,8 @@
       const status = await this.#findStatus(entry)
       if (status?.role === 'replica' && status.pausedForTerm > primary.term) paused.set(entry.endpoint, status.pausedForTerm)
       else if (status !== null) unpaused.add(entry.endpoint)
-      const { primary: current } = group.state
-      const isFollowing = status?.role === 'replica' && status.pausedForTerm === 0 && status.term === current?.term
-      if (current === null || !isFollowing) throw new Error(`${entry.endpoint}: expected a replica that is not paused and follows the primary's term`)
+      const isFollowing = status?.role === 'replica' && status.pausedForTerm === 0 && status.term === primary.term
+      if (!isFollowing) throw new Error(`${entry.endpoint}: expected a replica that is not paused and follows the primary's term`)
       return entry
     }
     const proofs = replicas.map(p => ({ entry: p.entry, proof: verify(p.entry) }))
@@ -125,8 +125,9 @@
       await Promise.any([...sufficientProofs, ...proofs.length > 1 ? [Promise.all(proofs.map(v => v.proof))] : []])
       await Promise.race([Promise.allSettled(proofs.map(v => v.proof)), waitFor(PAUSE_CHECK_MS)])
       if (this.#isPauseRecent(group, paused, unpaused)) throw new Error('a replica is paused, so a promotion may be in progress')
+      if (!isKnownPrimary(group, primary)) throw new Error('the known primary has changed since the replicas were asked')
       recordVerification(group.state, primary.endpoint, sentAtMs)
-      this.#options.logger.info('leadership verified', { service: group.service, primary: primary.endpoint, term: group.state.primary?.term, replicaCount: replicas.length })
+      this.#options.logger.info('leadership verified', { service: group.service, primary: primary.endpoint, term: primary.term, replicaCount: replicas.length })
     } catch (error) {
       if (paused.size > 0) this.#isPauseRecent(group, paused, unpaused)
       this.#options.logger.info('leadership not verified', { reason: describeError(error), service: group.service, primary: primary.endpoint, term: primary.term, replicaCount: replicas.length })
