Adopt no primary of a term that is over, of which an outcome or a report tells late

What callers saw: nothing yet; refused writes while a VM holds on to an endpoint that has not led for some terms.

Cause: while no primary is known, any term counted as news, also one that is older than that of the primary which was found not to lead any more. An outcome that was late, or told again, brought that one back.

Evidence: `is not one of an earlier term, of which an outcome tells late, after the latest one was found not to lead any more` failed before.

Why this works: a VM remembers the latest term of which it has known a primary. Up to that term only the word of an endpoint itself counts.

--- a/packages/gateway/src/groups/service-group.test.ts
+++ b/packages/gateway/src/groups/service-group.test.ts
@@ -71,6 +71,17 @@
     expect(inquiries).to.deep.equal(['s'])
   })
 
+  it('is not one of an earlier term, of which an outcome tells late, after the latest one was found not to lead any more', async () => {
+    const { group } = createGroup()
+    group.adoptPrimary('a', 4, 'role check', true)
+    group.resetPrimary()
+    group.adoptPrimary('p', 3, 'promoted')
+    group.adoptPrimary('a', 4, 'promoted')
+    expect(group.state.primary).to.equal(null)
+    group.adoptPrimary('p', 5, 'promoted')
+    expect(group.state.primary).to.deep.equal({ endpoint: 'p', term: 5 })
+  })
+
   it('is asked for nothing while its positions are of the term that it leads', async () => {
     const { group, inquiries } = createGroup()
     await respond(group, 'p', 2)
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -80,6 +80,8 @@
   readonly departures: Departure[] = []
   /** The primary that was found not to lead any more; reports of others who still take it for the primary do not count. */
   formerPrimary: KnownPrimary | null = null
+  /** The latest term of which this VM has known a primary. */
+  #latestTerm = 0
   /** Since when this VM has known the present primary. What it saw of that endpoint before tells nothing of the primary. */
   primarySinceMs = -Infinity
   /** Time since when no primary is known; `null` while one is. */
@@ -236,7 +238,10 @@
     const previous = this.state.primary === null ? null : { ...this.state.primary }
     const isContradicting = term > 0 && previous?.term === term && previous.endpoint !== endpoint
     if (isContradicting && !isOwnWord && !this.state.isPrimaryConfirmed) this.#reportDoubt(endpoint, term, source)
-    if (!updatePrimary(this.state, endpoint, term, isOwnWord)) return
+    // What others tell of a term whose primary was found not to lead any more is late.
+    const isLate = !isOwnWord && term > 0 && term <= this.#latestTerm
+    if (isLate || !updatePrimary(this.state, endpoint, term, isOwnWord)) return
+    this.#latestTerm = Math.max(this.#latestTerm, term)
     if (previous?.endpoint !== endpoint) {
       this.primarySinceMs = this.#options.clock.readNow()
       this.unansweredWriteSinceMs = null
