Count no response with a position of a later term as one of the primary

What callers saw: a primary that has stepped down, and answers reads as a replica, counted as one that responds, here and by reports on other VMs.

Cause: such a response proves no leadership any more, but its time was still recorded as that of the primary's last response, which keeps VMs from replacing a primary that does not respond to them.

Evidence: `has not responded as the primary when its position is of a later term, which it may follow` failed before.

Why this works: the endpoint's role is asked for; if it leads the later term, its next response counts.

--- a/packages/gateway/src/groups/service-group.test.ts
+++ b/packages/gateway/src/groups/service-group.test.ts
@@ -39,6 +39,12 @@
     expect(inquiries).to.deep.equal(['s'])
   })
 
+  it('has not responded as the primary when its position is of a later term, which it may follow', async () => {
+    const { group } = createGroup()
+    await respond(group, 'p', 3)
+    expect(group.state.lastResponseAtMs).to.equal(-Infinity)
+  })
+
   it('is replaced by the endpoint that leads the later term, although it has responded with a position of that term before', async () => {
     const { group, clock } = createGroup()
     recordLeadership(group.state, 'p', clock.nowMs)
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -386,10 +386,10 @@
     const { primary } = this.state
     if (primary?.endpoint !== endpoint) return
     // A replica that follows a later primary has positions of its term as well, so the endpoints are asked for their roles.
-    const isOfLaterTerm = position !== null && position.term > primary.term
-    if (isOfLaterTerm) this.#options.handlePrimaryDoubt?.(this)
-    recordPrimaryResponse(this.state, endpoint, sentAtMs, isOfLaterTerm ? null : position, nowMs)
-    if (position !== null && !isOfLaterTerm) recordLogEnd(this.departures, position, sentAtMs)
+    // Nor is it the response of a primary then, which would tell other VMs that one responds.
+    if (position !== null && position.term > primary.term) return this.#options.handlePrimaryDoubt?.(this)
+    recordPrimaryResponse(this.state, endpoint, sentAtMs, position, nowMs)
+    if (position !== null) recordLogEnd(this.departures, position, sentAtMs)
   }
 
   /** Waits until `isDone` returns true, for at most `waitMs`. It is checked after each change of the group. @returns whether the condition was met */
