Apply another VM's proof of leadership only to the term that it is about

What callers saw: nothing yet.

Cause: a report was matched by the endpoint alone. If an endpoint leads again, the proof, samples and response times of a VM that still knows its earlier term counted for the present one.

Evidence: `prove nothing of a later term of the same endpoint, which leads again` failed before.

Why this works: what a report tells of the primary is used for the same endpoint and term only; acknowledged positions are comparable and still count.

--- a/packages/gateway/src/fleet/group-reports.test.ts
+++ b/packages/gateway/src/fleet/group-reports.test.ts
@@ -51,6 +51,17 @@
     }
   })
 
+  it('prove nothing of a later term of the same endpoint, which leads again', () => {
+    const [reporter, receiver] = [createGroup(), createGroup()]
+    updatePrimary(reporter.state, 'p', 2)
+    recordLeadership(reporter.state, 'p', 1_000)
+    recordPrimaryResponse(reporter.state, 'p', 1_000, { term: 2, index: 7 }, 1_010)
+    updatePrimary(receiver.state, 'p', 4)
+    exchangeReport(reporter, receiver, 1_020, 1_020)
+    expect(receiver.state.leadershipLeaseEndsMs).to.equal(-Infinity)
+    expect(receiver.state.samples).to.deep.equal([])
+  })
+
   it('do not make a VM take a primary for the leader again that it has found to be a replica', () => {
     const [reporter, receiver] = [createGroup(), createGroup()]
     updatePrimary(reporter.state, 'p', 2)
--- a/packages/gateway/src/fleet/group-reports.ts
+++ b/packages/gateway/src/fleet/group-reports.ts
@@ -39,9 +39,10 @@
   const isContradicting = state.primary?.term === report.term && state.primary.endpoint !== report.primary
   if (isNewerTerm || isContradicting) group.adoptPrimary(report.primary, report.term, `vm ${vm}`)
   if (state.primary?.endpoint !== report.primary) return
+  if (report.acknowledged !== null) recordAcknowledgedPosition(state, report.acknowledged)
+  if (state.primary.term !== report.term) return
   if (report.leadershipAgeMs !== null) recordLeadership(state, report.primary, pollSentAtMs - report.leadershipAgeMs)
   if (report.sample !== null) addSample(state, { atMs: pollSentAtMs - report.sample.ageMs, position: report.sample.position })
-  if (report.acknowledged !== null) recordAcknowledgedPosition(state, report.acknowledged)
   group.peers.set(vm, {
     lastResponseAtMs: pollSentAtMs - (report.primaryResponseAgeMs ?? Infinity),
     acknowledgedAtMs: pollSentAtMs - (report.acknowledgedAgeMs ?? Infinity),
