--- a/packages/gateway/src/fleet/group-reports.ts
+++ b/packages/gateway/src/fleet/group-reports.ts
@@ -25,6 +25,12 @@
   }
 }
 
+/** Whether a report tells of a later primary than is known, or of another one for its term. */
+function hasNews ({ state: { primary }, formerPrimary }: ServiceGroup, report: GroupReport): boolean {
+  const latestTerm = (primary ?? formerPrimary)?.term ?? 0
+  return report.term > latestTerm || (primary?.term === report.term && primary.endpoint !== report.primary)
+}
+
 /**
  * Applies what another VM reports about a group.
  *
@@ -34,10 +40,7 @@
  */
 export function applyGroupReport (group: ServiceGroup, vm: string, report: GroupReport, pollSentAtMs: number): void {
   const { state } = group
-  const latestKnown = state.primary ?? group.formerPrimary
-  const isNewerTerm = report.term > (latestKnown?.term ?? 0)
-  const isContradicting = state.primary?.term === report.term && state.primary.endpoint !== report.primary
-  if (isNewerTerm || isContradicting) group.adoptPrimary(report.primary, report.term, `vm ${vm}`)
+  if (hasNews(group, report)) group.adoptPrimary(report.primary, report.term, `vm ${vm}`)
   if (state.primary?.endpoint !== report.primary) return
   if (report.acknowledged !== null) recordAcknowledgedPosition(state, report.acknowledged)
   if (state.primary.term !== report.term) return
--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -107,14 +107,7 @@
 export function updatePrimary (state: GroupState, endpoint: string, term: number, isOwnWord = false): boolean {
   const { primary } = state
   if (primary !== null && term < primary.term) return false
-  if (primary?.endpoint === endpoint) {
-    const isNewer = term > primary.term
-    state.isPrimaryConfirmed = isOwnWord || (state.isPrimaryConfirmed && !isNewer)
-    const hadTerm = primary.term > 0
-    primary.term = term
-    if (isNewer && hadTerm) resetLeadership(state)
-    return isNewer
-  }
+  if (primary?.endpoint === endpoint) return updateTerm(state, primary, term, isOwnWord)
   if (primary !== null && term === primary.term && term > 0 && (!isOwnWord || state.isPrimaryConfirmed)) return false
   state.primary = { endpoint, term }
   state.isPrimaryConfirmed = isOwnWord
@@ -122,6 +115,15 @@
   return true
 }
 
+function updateTerm (state: GroupState, primary: KnownPrimary, term: number, isOwnWord: boolean): boolean {
+  const isNewer = term > primary.term
+  const hadTerm = primary.term > 0
+  state.isPrimaryConfirmed = isOwnWord || (state.isPrimaryConfirmed && !isNewer)
+  primary.term = term
+  if (isNewer && hadTerm) resetLeadership(state)
+  return isNewer
+}
+
 function resetLeadership (state: GroupState): void {
   state.samples = []
   state.leadershipLeaseEndsMs = -Infinity
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -80,8 +80,8 @@
   readonly departures: Departure[] = []
   /** The primary that was found not to lead any more; reports of others who still take it for the primary do not count. */
   formerPrimary: KnownPrimary | null = null
-  /** The latest term of which this VM has known a primary. */
-  #latestTerm = 0
+  /** The primary of the latest term that this VM has known, whether it still leads or not. */
+  #latestPrimary: KnownPrimary | null = null
   /** Since when this VM has known the present primary. What it saw of that endpoint before tells nothing of the primary. */
   primarySinceMs = -Infinity
   /** Time since when no primary is known; `null` while one is. */
@@ -236,30 +236,37 @@
    */
   adoptPrimary (endpoint: string, term: number, source: string, isOwnWord = false): void {
     const previous = this.state.primary === null ? null : { ...this.state.primary }
-    const isContradicting = term > 0 && previous?.term === term && previous.endpoint !== endpoint
-    if (isContradicting && !isOwnWord && !this.state.isPrimaryConfirmed) this.#reportDoubt(endpoint, term, source)
-    // What others tell of a term whose primary was found not to lead any more is late.
-    const isLate = !isOwnWord && term > 0 && term <= this.#latestTerm
-    if (isLate || !updatePrimary(this.state, endpoint, term, isOwnWord)) return
-    this.#latestTerm = Math.max(this.#latestTerm, term)
-    if (previous?.endpoint !== endpoint) {
-      this.primarySinceMs = this.#options.clock.readNow()
-      this.unansweredWriteSinceMs = null
-      this.peers.clear()
-      resetLogEnds(this.departures)
-      if (previous !== null) this.#abandonStatements(previous.endpoint, new LeadershipLostError('the primary was replaced'))
-      if (this.departures.length > 0) this.#options.handleDeparture?.(this)
-    }
+    if (!isOwnWord && !this.#isPlausible(endpoint, term, source)) return
+    if (!updatePrimary(this.state, endpoint, term, isOwnWord)) return
+    if (term >= (this.#latestPrimary?.term ?? 1)) this.#latestPrimary = { endpoint, term }
+    if (previous?.endpoint !== endpoint) this.#resetPrimaryRecords(previous)
     this.withoutPrimarySinceMs = null
     this.#options.logger.info('primary changed', { service: this.service, endpoint, term, source, previousPrimary: previous })
     this.#publishChange()
   }
 
-  /** Has the endpoints asked for their roles, because what this VM knows of the primary is contradicted. */
-  #reportDoubt (endpoint: string, term: number, source: string): void {
-    const { logger, handlePrimaryDoubt } = this.#options
-    logger.info('known primary contradicted', { service: this.service, endpoint, term, source, primary: this.state.primary })
-    handlePrimaryDoubt?.(this)
+  /** Drops what is known of the previous primary, and gives up what is in flight there. */
+  #resetPrimaryRecords (previous: KnownPrimary | null): void {
+    this.primarySinceMs = this.#options.clock.readNow()
+    this.unansweredWriteSinceMs = null
+    this.peers.clear()
+    resetLogEnds(this.departures)
+    if (previous !== null) this.#abandonStatements(previous.endpoint, new LeadershipLostError('the primary was replaced'))
+    if (this.departures.length > 0) this.#options.handleDeparture?.(this)
+  }
+
+  /**
+   * Whether what others tell of a term may be so: no term that is over has a primary, and no term has two. If another endpoint is known for
+   * the term and has not told itself that it leads, the endpoints are asked for their roles.
+   */
+  #isPlausible (endpoint: string, term: number, source: string): boolean {
+    const latest = this.#latestPrimary
+    if (latest === null || term === 0 || term > latest.term) return true
+    if (term < latest.term) return false
+    if (endpoint === latest.endpoint || this.state.isPrimaryConfirmed) return endpoint === latest.endpoint
+    this.#options.logger.info('known primary contradicted', { service: this.service, endpoint, term, source, primary: latest })
+    this.#options.handlePrimaryDoubt?.(this)
+    return false
   }
 
   /** Records that the known primary no longer leads and that no other endpoint is known to. */
