Ask the primary for its role when replicas prove its leadership (STALE, found by a random history)

What callers saw: reads of primary routes at an endpoint that had stepped down, without commits that the new primary had acknowledged (not seen outside of tests).

Cause: a replica that is not paused and follows the term counted as proof that the known primary leads, without a word of that endpoint. A promotion that has had the primary step down goes on although it does not reach a replica. A VM that reaches that replica, but not the VM that promotes, renewed its lease through it, beyond the time that the promotion waits.

Why this works: a lease begins at the earlier of the replicas' proof and the primary's last confirmation, by its role or by a commit that it acknowledged, after which it has not stepped down before that time. The primary is asked, beside the replicas, only if it has not confirmed within 0.4 s. If it is a replica, all endpoints are asked, so that the belief ends.

--- a/packages/gateway/src/failover/verify-leadership.test.ts
+++ b/packages/gateway/src/failover/verify-leadership.test.ts
@@ -3,7 +3,7 @@
 import { EndpointConnector, type EndpointConnection, type EndpointStatus } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError } from '../backend/errors.ts'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { isPrimaryFresh, revokeLeadership, updatePrimary } from '../freshness/group-state.ts'
+import { isPrimaryFresh, LEADER_LEASE_MS, recordOwnWord, revokeLeadership, updatePrimary } from '../freshness/group-state.ts'
 import { recordGone } from '../groups/departures.ts'
 import { ServiceGroup } from '../groups/service-group.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
@@ -164,6 +164,23 @@
     return () => release()
   }
 
+  // A promotion had the primary step down and went on although it did not reach one replica (known-primary-histories, seed 6026).
+  it('does not accept a replica that follows and is not paused as proof once the primary has stepped down', async () => {
+    const { group, verifier, connector, clock } = createFixture()
+    connector.statuses.set('p', { role: 'replica' })
+    connector.silent.add('b')
+    await verifier.verifyLeadership(group, 1_000)
+    expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(false)
+  })
+
+  it('begins the lease when the primary last confirmed that it leads, and asks it only if that is long ago', async () => {
+    const { group, verifier, connector, clock } = createFixture()
+    recordOwnWord(group.state, 'p', 1, clock.nowMs - 300)
+    connector.statuses.set('p', { role: 'replica' })
+    await verifier.verifyLeadership(group, 1_000)
+    expect(group.state.leadershipLeaseEndsMs).to.equal(clock.nowMs - 300 + LEADER_LEASE_MS)
+  })
+
   it('proves nothing of a primary that became known after the replicas were asked, although one of them follows its term', async () => {
     const { group, verifier, connector, clock } = createFixture()
     for (const endpoint of ['a', 'b']) connector.statuses.set(endpoint, { term: 2 })
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -1,6 +1,6 @@
 import { describeError, type Clock, type Logger } from '@camphorpitch/wire'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { isLeadershipRevoked, recordPrimaryResponse, recordVerification, type KnownPrimary } from '../freshness/group-state.ts'
+import { isLeadershipRevoked, LEADER_LEASE_MS, recordOwnWord, recordPrimaryResponse, recordVerification, type KnownPrimary } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { recordContact } from '../pool/endpoint-health.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
@@ -17,6 +17,8 @@
 const SEEN_PAUSE_VALID_MS = 1_000
 /** Time for the other replicas to tell that they are paused, after one has proved that it is not. */
 const PAUSE_CHECK_MS = 100
+/** A primary that has confirmed its leadership this lately is not asked for its role, as each request takes one of its slots. */
+const RECENT_CONFIRMATION_MS = 400
 /** Shortest time between two queries of the same kind to a group. */
 const MIN_QUERY_INTERVAL_MS = 200
 
@@ -34,7 +36,8 @@
  * sufficient proof.
  *
  * A replica that is not paused and follows the primary's term proves that the group was not fenced when the status request
- * was sent, since a promotion pauses every replica first. It proves nothing if another replica has been paused recently.
+ * was sent, since a promotion pauses every replica first that it reaches. It proves nothing if another replica has been paused recently, or
+ * if the primary has stepped down, so the primary must have confirmed lately that it leads.
  */
 export class LeadershipVerifier {
   readonly #options: LeadershipVerifierOptions
@@ -93,30 +96,47 @@
 
   /** Requests the role of one endpoint and records it if it is primary. @returns `null` if it did not respond */
   async checkRole (group: ServiceGroup, entry: EndpointEntry): Promise<'primary' | 'replica' | null> {
+    const askedAtMs = this.#options.clock.readNow()
     const status = await this.#findStatus(entry)
-    if (status?.role === 'primary') group.adoptPrimary(entry.endpoint, status.term, 'role check', true)
+    if (status?.role === 'primary') {
+      group.adoptPrimary(entry.endpoint, status.term, 'role check', true)
+      recordOwnWord(group.state, entry.endpoint, status.term, askedAtMs)
+    }
     return status?.role ?? null
   }
 
   async #verifyWithReplicas (group: ServiceGroup): Promise<void> {
+    const { clock, logger } = this.#options
     const primaryEntry = group.primaryPool?.entry
     if (group.state.primary?.term === 0 && primaryEntry !== undefined) await this.checkRole(group, primaryEntry)
     const primary = copyPrimary(group)
-    const sentAtMs = this.#options.clock.readNow()
-    const pools = [...group.pools.values()]
+    const sentAtMs = clock.readNow()
     // Without a term, a replica that has not joined the group yet would count as one that follows.
-    if (primary === null || primary.term === 0 || pools.length === 0) return
-    const replicas = pools.filter(p => p.entry.endpoint !== primary.endpoint)
+    if (primary === null || primary.term === 0 || group.pools.size === 0) return
+    const replicaCount = [...group.pools.keys()].filter(e => e !== primary.endpoint).length
+    try {
+      await Promise.all([this.#proveUnfenced(group, primary), this.#confirmPrimary(group, primary, sentAtMs)])
+      if (!isKnownPrimary(group, primary)) throw new Error('the known primary has changed since the replicas were asked')
+      recordVerification(group.state, primary.endpoint, sentAtMs, group.state.confirmedAtMs)
+      const confirmationAgeMs = Math.round(clock.readNow() - group.state.confirmedAtMs)
+      logger.info('leadership verified', { service: group.service, primary: primary.endpoint, term: primary.term, replicaCount, confirmationAgeMs })
+    } catch (error) {
+      logger.info('leadership not verified', { reason: describeError(error), service: group.service, primary: primary.endpoint, term: primary.term, replicaCount })
+    }
+  }
+
+  /** Asks the replicas whether the group is fenced. @throws Error unless they prove that it is not */
+  async #proveUnfenced (group: ServiceGroup, primary: KnownPrimary): Promise<void> {
     const paused = new Map<string, number>()
     const unpaused = new Set<string>()
-    const verify = async (entry: EndpointEntry): Promise<EndpointEntry> => {
+    const verify = async (entry: EndpointEntry): Promise<void> => {
       const status = await this.#findStatus(entry)
       if (status?.role === 'replica' && status.pausedForTerm > primary.term) paused.set(entry.endpoint, status.pausedForTerm)
       else if (status !== null) unpaused.add(entry.endpoint)
       const isFollowing = status?.role === 'replica' && status.pausedForTerm === 0 && status.term === primary.term
       if (!isFollowing) throw new Error(`${entry.endpoint}: expected a replica that is not paused and follows the primary's term`)
-      return entry
     }
+    const replicas = [...group.pools.values()].filter(p => p.entry.endpoint !== primary.endpoint)
     const proofs = replicas.map(p => ({ entry: p.entry, proof: verify(p.entry) }))
     for (const { proof } of proofs) proof.catch(() => {}) // A single proof that does not suffice is not awaited below.
     const sufficientProofs = proofs.filter(v => Date.now() - v.entry.startedAtMs >= RECENT_START_MS).map(v => v.proof)
@@ -124,14 +144,27 @@
       // All replicas together are a sufficient proof even if each has started recently: they did not all lose the information about a pause.
       await Promise.any([...sufficientProofs, ...proofs.length > 1 ? [Promise.all(proofs.map(v => v.proof))] : []])
       await Promise.race([Promise.allSettled(proofs.map(v => v.proof)), waitFor(PAUSE_CHECK_MS)])
-      if (this.#isPauseRecent(group, paused, unpaused)) throw new Error('a replica is paused, so a promotion may be in progress')
-      if (!isKnownPrimary(group, primary)) throw new Error('the known primary has changed since the replicas were asked')
-      recordVerification(group.state, primary.endpoint, sentAtMs)
-      this.#options.logger.info('leadership verified', { service: group.service, primary: primary.endpoint, term: primary.term, replicaCount: replicas.length })
     } catch (error) {
       if (paused.size > 0) this.#isPauseRecent(group, paused, unpaused)
-      this.#options.logger.info('leadership not verified', { reason: describeError(error), service: group.service, primary: primary.endpoint, term: primary.term, replicaCount: replicas.length })
+      throw error
     }
+    if (this.#isPauseRecent(group, paused, unpaused)) throw new Error('a replica is paused, so a promotion may be in progress')
+  }
+
+  /** Asks the primary for its role if it has not confirmed lately that it leads. @throws Error unless it has confirmed that within a lease */
+  async #confirmPrimary (group: ServiceGroup, { endpoint }: KnownPrimary, sentAtMs: number): Promise<void> {
+    const entry = group.pools.get(endpoint)?.entry
+    const isRecent = sentAtMs - group.state.confirmedAtMs <= RECENT_CONFIRMATION_MS
+    const role = isRecent || entry === undefined ? null : await this.checkRole(group, entry)
+    if (role === 'replica') this.#handleStepDown(group)
+    if (role === 'replica') throw new Error(`${endpoint}: the known primary is a replica`)
+    if (sentAtMs - group.state.confirmedAtMs >= LEADER_LEASE_MS) throw new Error('the primary has not confirmed that it leads')
+  }
+
+  /** Looks for another primary, unless the known one has stepped down for a promotion whose outcome will tell it. */
+  #handleStepDown (group: ServiceGroup): void {
+    if (isLeadershipRevoked(group.state, this.#options.clock.readNow())) return
+    this.findPrimary(group).catch((error: unknown) => this.#options.logger.error('search for the primary failed', { error: String(error) }))
   }
 
   /**
--- a/packages/gateway/src/freshness/group-state.ts
+++ b/packages/gateway/src/freshness/group-state.ts
@@ -50,6 +50,8 @@
   completionEndsMs: number
   /** Time at which this VM last verified the leadership by asking replicas, which proves more than a commit. */
   verifiedAtMs: number
+  /** Latest time at which the known primary was sent a commit that it acknowledged, or was asked for its role and told that it leads its term. */
+  confirmedAtMs: number
   /** Time at which this VM last noticed that a replica has joined or started again; it may never have been paused, or have lost its pause. */
   replicaStartNoticedAtMs: number
   /** Samples, the newest first. */
@@ -82,6 +84,7 @@
     leadershipLeaseEndsMs: -Infinity,
     completionEndsMs: -Infinity,
     verifiedAtMs: -Infinity,
+    confirmedAtMs: -Infinity,
     replicaStartNoticedAtMs: -Infinity,
     samples: [],
     acknowledged: null,
@@ -128,6 +131,7 @@
   state.samples = []
   state.leadershipLeaseEndsMs = -Infinity
   state.completionEndsMs = -Infinity
+  state.confirmedAtMs = -Infinity
   state.lastResponseAtMs = -Infinity
   if (state.primary === null || state.primary.term >= state.revokedTerm) state.revokedUntilMs = -Infinity
   if (!hasOpenOrder(state)) state.openOrder = null
@@ -142,10 +146,20 @@
   state.leadershipLeaseEndsMs = Math.max(state.leadershipLeaseEndsMs, atMs + LEADER_LEASE_MS)
 }
 
-/** Records that replicas proved that the primary led at `atMs`. */
-export function recordVerification (state: GroupState, endpoint: string, atMs: number): void {
+/** Records that an endpoint, asked at `askedAtMs`, has told that it leads the term. */
+export function recordOwnWord (state: GroupState, endpoint: string, term: number, askedAtMs: number): void {
+  if (state.primary?.endpoint === endpoint && state.primary.term === term) state.confirmedAtMs = Math.max(state.confirmedAtMs, askedAtMs)
+}
+
+/**
+ * Records that replicas proved that the group was not fenced at `atMs`. That proves the leadership only as far as the primary has not
+ * stepped down: a promotion that has had it step down may go on although it does not reach a replica.
+ *
+ * @param confirmedAtMs when the primary last confirmed that it leads; as the replicas' proof by default
+ */
+export function recordVerification (state: GroupState, endpoint: string, atMs: number, confirmedAtMs = atMs): void {
   state.verifiedAtMs = Math.max(state.verifiedAtMs, atMs)
-  recordLeadership(state, endpoint, atMs)
+  recordLeadership(state, endpoint, Math.min(atMs, confirmedAtMs))
 }
 
 /**
@@ -161,6 +175,7 @@
   if (state.primary?.endpoint !== endpoint) return
   if (hasLeadershipLease(state, endpoint, nowMs) && state.verifiedAtMs >= state.replicaStartNoticedAtMs) recordLeadership(state, endpoint, sentAtMs)
   state.acknowledgedAtMs = nowMs
+  state.confirmedAtMs = Math.max(state.confirmedAtMs, sentAtMs)
   if (position === null) return
   recordAcknowledgedPosition(state, position)
   state.lastCommitSentAtMs = Math.max(state.lastCommitSentAtMs, sentAtMs)
