--- a/packages/gateway/src/serving/forwarding-client.ts
+++ b/packages/gateway/src/serving/forwarding-client.ts
@@ -1,5 +1,6 @@
 import type { Clock, Hello, LinkLoss, PeerNetwork } from '@camphorpitch/wire'
 import type { VmEntry } from '../fleet/message-schemas.ts'
+import type { Withdrawal } from '../pool/withdrawal.ts'
 import { computeTimeLeftMs, type Operation, type Outcome } from '../statements/operation.ts'
 import { encodeOperation, estimateBytes, SERVING_SLICE, type NotRunReason, type OutcomeMessage, type PartMessage, type ServingMessage } from './forwarding-messages.ts'
 import { checkAvailability, createServingVmHealth, isUnheard, recordFailure, recordForwarded, recordHeard, recordRefusal, recordRoundTrip, recordSettled, type Availability, type ServingVmHealth } from './serving-vm-health.ts'
@@ -66,8 +67,12 @@
     for (const vm of this.#health.keys()) if (!isMember(vm)) this.#health.delete(vm)
   }
 
-  /** Sends a statement to a serving VM. Resolves with its outcome, or once none can be waited for any more. */
-  async forward (vm: VmEntry, operation: Operation, isWrite: boolean): Promise<ForwardResult> {
+  /**
+   * Sends a statement to a serving VM. Resolves with its outcome, or once none can be waited for any more.
+   *
+   * @param withdrawal tells the serving VM that the statement, a read, has been answered elsewhere; its outcome is waited for all the same
+   */
+  async forward (vm: VmEntry, operation: Operation, isWrite: boolean, withdrawal?: Withdrawal): Promise<ForwardResult> {
     const { clock, network } = this.#options
     const nowMs = clock.readNow()
     const health = this.#findHealth(vm)
@@ -82,11 +87,12 @@
       this.#pending.set(request, { vm: vm.vm, servingIncarnation: vm.incarnation, health, bytes, sentAtMs: nowMs, rows: [], parts: 0, timers, resolve })
       recordForwarded(health, bytes, nowMs)
       this.#send(vm.vm, message)
+      withdrawal?.subscribe(() => { if (this.#pending.has(request)) this.#send(vm.vm, { type: 'withdraw', incarnation: network.self.incarnation, request }) })
     })
   }
 
   /** Handles what a serving VM sent about a statement. Messages about statements that are settled, or were sent before this VM started, change nothing. */
-  handleMessage (from: Hello, message: Exclude<ServingMessage, { type: 'run' | 'inquiry' }>): void {
+  handleMessage (from: Hello, message: Exclude<ServingMessage, { type: 'run' | 'inquiry' | 'withdraw' }>): void {
     const known = this.#health.get(from.vm)
     if (known?.incarnation === from.incarnation) recordHeard(known.health, this.#options.clock.readNow())
     const pending = this.#pending.get(message.request)
--- a/packages/gateway/src/serving/forwarding-messages.ts
+++ b/packages/gateway/src/serving/forwarding-messages.ts
@@ -66,10 +66,12 @@
 export type NotRunReason = z.infer<typeof notRunSchema>['reason']
 /** Asks what has become of a statement that was sent some time ago. */
 export const inquirySchema = z.object({ type: z.literal('inquiry'), ...requestIdShape })
+/** Withdraws a read that has been answered elsewhere: it is sent to no endpoint any more. Its outcome is told all the same. */
+export const withdrawSchema = z.object({ type: z.literal('withdraw'), ...requestIdShape })
 /** Tells that a statement is running, or that it has ended and no answer to it will be sent any more. */
 export const statusSchema = z.object({ type: z.literal('status'), ...requestIdShape, isRunning: z.boolean() })
 
-export const servingMessageSchema = z.discriminatedUnion('type', [runSchema, partSchema, outcomeSchema, notRunSchema, inquirySchema, statusSchema])
+export const servingMessageSchema = z.discriminatedUnion('type', [runSchema, partSchema, outcomeSchema, notRunSchema, inquirySchema, withdrawSchema, statusSchema])
 export type ServingMessage = z.infer<typeof servingMessageSchema>
 export type OutcomeMessage = z.infer<typeof outcomeSchema>
 
--- a/packages/gateway/src/serving/forwarding-server.ts
+++ b/packages/gateway/src/serving/forwarding-server.ts
@@ -1,4 +1,5 @@
 import type { Clock, Hello, Logger, PeerNetwork } from '@camphorpitch/wire'
+import { Withdrawal } from '../pool/withdrawal.ts'
 import type { Operation, Outcome } from '../statements/operation.ts'
 import { countAnswerBytes, decodeOperation, estimateBytes, SERVING_SLICE, buildParts, type NotRunReason, type RunMessage, type ServingMessage } from './forwarding-messages.ts'
 import { addRequest, createRequestLog, measureExcessDelayMs, type RequestLog } from './request-log.ts'
@@ -17,7 +18,7 @@
   logger: Logger
   network: PeerNetwork
   /** Runs a statement at an endpoint; `undefined` if no endpoint of its service is registered. */
-  run: (operation: Operation, isWrite: boolean) => Promise<Outcome | undefined>
+  run: (operation: Operation, isWrite: boolean, withdrawal: Withdrawal) => Promise<Outcome | undefined>
   /** Counts the statements of other VMs by what became of them. */
   recordServed: (service: string, result: 'answered' | NotRunReason) => void
 }
@@ -26,8 +27,8 @@
 export class ForwardingServer {
   readonly #options: ForwardingServerOptions
   readonly #logs = new Map<string, RequestLog>()
-  /** Size of each statement that runs, by its request. */
-  readonly #running = new Map<string, number>()
+  /** Statements that run, by their requests. */
+  readonly #running = new Map<string, Withdrawal>()
   #runningBytes = 0
   #isStopping = false
 
@@ -41,11 +42,12 @@
     while (this.#running.size > 0) await pause()
   }
 
-  handleMessage (from: Hello, message: Extract<ServingMessage, { type: 'run' | 'inquiry' }>): void {
+  handleMessage (from: Hello, message: Extract<ServingMessage, { type: 'run' | 'inquiry' | 'withdraw' }>): void {
     const log = this.#findLog(from)
     // A message of an earlier start was late; nobody waits for its answer.
     if (message.incarnation !== log.incarnation) return
     if (message.type === 'inquiry') this.#handleInquiry(from.vm, log, message.request)
+    else if (message.type === 'withdraw') this.#handleWithdrawal(from.vm, log, message.request)
     else if (addRequest(log, message.request)) this.#admit(from, log, message)
     else this.#options.logger.warn('repeated statement of another vm not run', { id: message.statement.id, vm: from.vm, request: message.request })
   }
@@ -57,6 +59,14 @@
     else this.#send(vm, { type: 'status', incarnation, request, isRunning: this.#running.has(formatRequest(vm, incarnation, request)) })
   }
 
+  /** Has a read that still waits for a connection run nowhere. One that has not arrived will not be run. */
+  #handleWithdrawal (vm: string, log: RequestLog, request: number): void {
+    const running = this.#running.get(formatRequest(vm, log.incarnation, request))
+    this.#options.logger.info('read of another vm withdrawn', { vm, request, isRunning: running !== undefined })
+    if (running === undefined) return this.#handleInquiry(vm, log, request)
+    running.withdraw()
+  }
+
   #admit (from: Hello, log: RequestLog, message: RunMessage): void {
     const { clock } = this.#options
     const nowMs = clock.readNow()
@@ -68,9 +78,10 @@
     const operation = decodeOperation(message, `${from.vm}@${from.incarnation}`, nowMs - elapsedMs)
     const key = formatRequest(from.vm, message.incarnation, message.request)
     const bytes = estimateBytes(operation)
-    this.#running.set(key, bytes)
+    const withdrawal = new Withdrawal()
+    this.#running.set(key, withdrawal)
     this.#runningBytes += bytes
-    this.#runAndRespond(from.vm, message, operation, nowMs)
+    this.#runAndRespond(from.vm, message, operation, { startedAtMs: nowMs, withdrawal })
       .catch((error: unknown) => {
         this.#options.logger.error('statement of another vm failed', { id: message.statement.id, vm: from.vm, error: error instanceof Error ? error.stack : String(error) })
         this.#send(from.vm, { type: 'status', incarnation: message.incarnation, request: message.request, isRunning: false })
@@ -81,10 +92,15 @@
       })
   }
 
-  async #runAndRespond (vm: string, message: RunMessage, operation: Operation, startedAtMs: number): Promise<void> {
+  async #runAndRespond (
+    vm: string,
+    message: RunMessage,
+    operation: Operation,
+    { startedAtMs, withdrawal }: { startedAtMs: number, withdrawal: Withdrawal }
+  ): Promise<void> {
     const { clock, logger, run, recordServed } = this.#options
     const { incarnation, request, isWrite, route: { service } } = message
-    const outcome = await run(operation, isWrite)
+    const outcome = await run(operation, isWrite, withdrawal)
     if (outcome === undefined) return this.#refuse(vm, message, 'unknownService')
     if ('refusal' in outcome && outcome.isUnreachable === true) return this.#refuse(vm, message, 'endpointUnreachable')
     if (!isWrite && countAnswerBytes(outcome) > MAX_READ_ANSWER_BYTES) return this.#refuse(vm, message, 'answerTooLarge')
--- a/packages/gateway/src/serving/statement-forwarder.test.ts
+++ b/packages/gateway/src/serving/statement-forwarder.test.ts
@@ -3,6 +3,7 @@
 import type { ClientTransport } from '../clients/client-listener.ts'
 import { PoolError } from '../pool/errors.ts'
 import { ClientSession } from '../sessions/client-session.ts'
+import { SessionAttempts } from '../statements/session-attempts.ts'
 import { ForwardingFleet, route } from '../testing/forwarding-fleet.ts'
 import { VirtualTime } from '../testing/virtual-time.ts'
 
@@ -146,6 +147,35 @@
     expect(decisions).to.deep.equal(['forwarded first', 'forwarded first'])
   }))
 
+  // Review case 3, on another path: the serving VM ran the read with the session's values of the time when it was sent.
+  it('runs no read that arrives at its serving VM after it was answered here', async () => await runFleet(async (fleet, entry) => {
+    fleet.drawFate = (_, message) => message.type === 'run' ? { delayMs: 900 } : message.type === 'inquiry' ? 'drop' : undefined
+    const pending = fleet.run(entry, 'r')
+    await fleet.time.advance(450)
+    expect(await pending).to.equal('row of r signed')
+    await fleet.time.advance(2_000)
+    expect(fleet.countRuns('r')).to.equal(1)
+  }))
+
+  for (const { name, endsAtMs, disturb } of [
+    { name: 'has answered', endsAtMs: 1_000, disturb: (fleet: ForwardingFleet, _: string, first: string) => { fleet.vms.get(first)!.process.frozenUntilMs = 1_000 } },
+    { name: 'must have ended it, as its link is lost', endsAtMs: 2_000, disturb: (fleet: ForwardingFleet, entry: string, first: string) => fleet.cutLink(entry, first, 'closed') }
+  ]) {
+    it(`counts a read as an attempt of its session until its serving VM ${name}, although it was answered here`, async () => await runFleet(async (fleet, entry, first) => {
+      const attempts = new SessionAttempts()
+      fleet.endpoint.workMs = 20
+      const pending = fleet.run(entry, 'r', { attempts })
+      await fleet.time.advance(1)
+      disturb(fleet, entry, first)
+      await fleet.time.advance(500)
+      expect(await pending).to.equal('row of r signed')
+      await fleet.time.advance(endsAtMs - 550)
+      expect(attempts.count).to.equal(1)
+      await fleet.time.advance(100)
+      expect(attempts.count).to.equal(0)
+    }))
+  }
+
   it('probes a VM that has failed by one read, and by no write', async () => await runFleet(async (fleet, entry, first) => {
     fleet.drawFate = to => to === first ? 'drop' : undefined
     const write = fleet.run(entry, 'w', { isWrite: true })
--- a/packages/gateway/src/serving/statement-forwarder.ts
+++ b/packages/gateway/src/serving/statement-forwarder.ts
@@ -1,6 +1,8 @@
 import { createRetryBudget, recordRequest, spendRetry, type Clock, type Hello, type Logger, type PeerNetwork, type RetryBudget } from '@camphorpitch/wire'
 import type { MemberState } from '../fleet/members.ts'
 import type { VmEntry } from '../fleet/message-schemas.ts'
+import { Withdrawal } from '../pool/withdrawal.ts'
+import { waitFor } from '../runtime/wait-at-most.ts'
 import { computeTimeLeftMs, createRetryRefusal, type Operation, type Outcome } from '../statements/operation.ts'
 import { decideForwarding, type ForwardingDecision } from './decide-forwarding.ts'
 import { ForwardingClient, type ForwardResult } from './forwarding-client.ts'
@@ -36,8 +38,11 @@
   recordServed: ForwardingServerOptions['recordServed']
 }
 
-/** Runs an operation on this VM, for one of its clients or for another VM; `undefined` if no endpoint of its service is registered. */
-export type LocalRun = (operation: Operation, isWrite: boolean) => Promise<Outcome | undefined>
+/**
+ * Runs an operation on this VM, for one of its clients or for another VM; `undefined` if no endpoint of its service is registered. A read
+ * that is withdrawn is sent to no endpoint any more.
+ */
+export type LocalRun = (operation: Operation, isWrite: boolean, withdrawal?: Withdrawal) => Promise<Outcome | undefined>
 
 /** Runs single statements on the serving VMs of their services, and those of other VMs that this VM serves. */
 export class StatementForwarder {
@@ -52,7 +57,7 @@
     const { clock, logger, network, recordServed } = options
     this.#options = options
     this.#client = new ForwardingClient({ clock, network })
-    this.#server = new ForwardingServer({ clock, logger, network, recordServed, run: async (operation, isWrite) => await this.#runLocally(operation, isWrite) })
+    this.#server = new ForwardingServer({ clock, logger, network, recordServed, run: async (...args) => await this.#runLocally(...args) })
     network.subscribe(SERVING_SLICE, (from, body) => this.#receive(from, body))
   }
 
@@ -120,7 +125,9 @@
   async #forwardRead (vm: VmEntry, operation: Operation, attempt: ForwardAttempt): Promise<Outcome | undefined> {
     const budget = this.#ensureRetryBudget(operation.route.service)
     recordRequest(budget)
-    const forwarded = this.#client.forward(vm, operation, false)
+    const withdrawal = new Withdrawal()
+    const forwarded = this.#client.forward(vm, operation, false, withdrawal)
+    operation.attempts?.add(this.#waitForForwardedEnd(operation, forwarded))
     let timer: NodeJS.Timeout | undefined
     const expired = new Promise<undefined>(resolve => { timer = setTimeout(() => resolve(undefined), this.#computeReadWaitMs(operation)) })
     const first = await Promise.race([forwarded, expired])
@@ -130,8 +137,18 @@
     if (first?.kind === 'notRun') return await this.#runInstead(operation, attempt, first)
     const canRunAgain = computeTimeLeftMs(operation, this.#options.clock.readNow()) > 1 && spendRetry(budget)
     if (!canRunAgain) return convertToReadOutcome(first ?? await forwarded)
-    const local = this.#runLocally(operation, false)
-    return first !== undefined ? await local : await pickAnswer(forwarded, local)
+    const local = this.#runLocally(operation, false, withdrawal)
+    try {
+      return first !== undefined ? await local : await pickAnswer(forwarded, local)
+    } finally {
+      withdrawal.withdraw()
+    }
+  }
+
+  /** Waits until a forwarded read has ended. Without an answer, it may run at its serving VM until its timeout. */
+  async #waitForForwardedEnd (operation: Operation, forwarded: Promise<ForwardResult>): Promise<void> {
+    const { kind } = await forwarded
+    if (kind === 'noAnswer') await waitFor(computeTimeLeftMs(operation, this.#options.clock.readNow()))
   }
 
   /**
@@ -177,7 +194,7 @@
       return
     }
     const message = parsed.data
-    if (message.type === 'run' || message.type === 'inquiry') this.#server.handleMessage(from, message)
+    if (message.type === 'run' || message.type === 'inquiry' || message.type === 'withdraw') this.#server.handleMessage(from, message)
     else this.#client.handleMessage(from, message)
   }
 
--- a/packages/gateway/src/sessions/client-session.test.ts
+++ b/packages/gateway/src/sessions/client-session.test.ts
@@ -132,6 +132,27 @@
     session.handleClose()
   })
 
+  // Review case 3: the earlier read ran with the values and prepared statements that the client had replaced since.
+  it('acknowledges no change of its state while an attempt of an answered read may still run', async () => {
+    let endAttempt = (): void => {}
+    const host = createHost(async ({ attempts }) => {
+      attempts?.add(new Promise<void>(resolve => { endAttempt = resolve }))
+      return success
+    })
+    const transport = new RecordingTransport()
+    const session = new ClientSession('s', host, transport)
+    session.handleStartup('orders', 'k')
+    await waitForEventLoopTurn()
+    session.handleStatement(readStatement)
+    session.handleStatement({ id: '8', text: 'SET a b', type: 'setValue', name: 'a', value: 'b' })
+    await waitForEventLoopTurn()
+    expect(transport.sent).to.deep.equal(['welcome', 'rows idle'])
+    endAttempt()
+    await waitForEventLoopTurn()
+    expect(transport.sent).to.deep.equal(['welcome', 'rows idle', 'rows idle'])
+    session.handleClose()
+  })
+
   it('lets an open transaction end before it tells the client', async () => {
     const { session, transport } = await startSession()
     session.handleStatement(beginStatement)
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -5,6 +5,7 @@
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
 import { createRetryRefusal, type Operation, type Outcome } from '../statements/operation.ts'
 import type { PinnedTransaction } from '../statements/pinned-transaction.ts'
+import { SessionAttempts } from '../statements/session-attempts.ts'
 import { authenticate, type Admission } from './authenticate.ts'
 import { createSessionState, decideStatement, type StatementPlan } from './decide-statement.ts'
 import { SessionCloser } from './session-closer.ts'
@@ -57,6 +58,7 @@
   #endCause: SessionEndCause | null = null
   #isEndRecorded = false
   /** Number and first ids of the statements that arrived after the session was closed. */
+  readonly #attempts = new SessionAttempts()
   #droppedCount = 0
   readonly #droppedIds: string[] = []
   /** Why the open transaction is to be rolled back after its running statement. */
@@ -351,7 +353,9 @@
   async #runPlan (statement: ClientStatement, plan: StatementPlan): Promise<void> {
     const state = this.#sessionState
     switch (plan.type) {
-      case 'answer': return this.#sendResponse({ error: plan.error, state: state.transaction })
+      case 'answer':
+        if (plan.error === null) await this.#waitForAttempts(statement)
+        return this.#sendResponse({ error: plan.error, state: state.transaction })
       case 'begin':
         this.#transactionLossReason = null
         return this.#sendResponse({ state: 'open' })
@@ -368,6 +372,15 @@
     }
   }
 
+  /** Waits until no attempt of an earlier read can run any more with values or prepared statements that the client is about to see replaced. */
+  async #waitForAttempts ({ id, type }: ClientStatement): Promise<void> {
+    const { count } = this.#attempts
+    if (count === 0) return
+    await this.#attempts.waitForEnd()
+    const elapsedMs = Math.round(this.#host.clock.readNow() - this.#lastActiveAtMs)
+    this.#host.logger.info('change of session state waited for earlier reads', { id, type, session: this.id, attempts: count, elapsedMs })
+  }
+
   async #runSingle (statement: ClientStatement, plan: { isWrite: boolean, preparedName: string | null }): Promise<void> {
     const operation = this.#createOperation(statement, plan.preparedName)
     const outcome = plan.isWrite ? await this.#host.runWrite(operation) : await this.#host.runRead(operation)
@@ -421,6 +434,7 @@
       route: this.#route,
       allowedRegions: this.#allowedRegions,
       sessionPosition: this.#lastWritePosition,
+      attempts: this.#attempts,
       receivedAtMs: this.#lastActiveAtMs
     }
   }
--- a/packages/gateway/src/sessions/gateway-session-host.ts
+++ b/packages/gateway/src/sessions/gateway-session-host.ts
@@ -9,6 +9,7 @@
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { PermitClient } from '../limits/permit-requests.ts'
 import type { QuotaCounter } from '../limits/quota-counter.ts'
+import type { Withdrawal } from '../pool/withdrawal.ts'
 import type { GatewaySettings } from '../settings.ts'
 import type { StatementForwarder } from '../serving/statement-forwarder.ts'
 import { createRetryRefusal, type Operation, type Outcome } from '../statements/operation.ts'
@@ -63,7 +64,7 @@
     this.clock = options.clock
     this.logger = options.logger
     this.#context = this.#createContext()
-    options.forwarder.connect(async (operation, isWrite) => await this.#runHere(operation, isWrite))
+    options.forwarder.connect(async (...args) => await this.#runHere(...args))
   }
 
   waitForConfiguration = async (): Promise<Configuration | null> => await this.#options.configuration.waitForFirst(FIRST_CONFIGURATION_TIMEOUT_MS)
@@ -129,10 +130,10 @@
   }
 
   /** Runs a statement on this VM, for one of its clients or for another VM. @returns `undefined` if no endpoint of its service is registered */
-  async #runHere (operation: Operation, isWrite: boolean): Promise<Outcome | undefined> {
+  async #runHere (operation: Operation, isWrite: boolean, withdrawal?: Withdrawal): Promise<Outcome | undefined> {
     const group = this.#findGroup(operation)
     if (group === undefined) return undefined
-    return isWrite ? await runWrite(this.#context, group, operation) : await runRead(this.#context, group, operation)
+    return isWrite ? await runWrite(this.#context, group, operation) : await runRead(this.#context, group, operation, withdrawal)
   }
 
   #findGroup ({ route }: Operation): ServiceGroup | undefined {
--- a/packages/gateway/src/statements/operation.ts
+++ b/packages/gateway/src/statements/operation.ts
@@ -3,6 +3,7 @@
 import type { ResponseError, ClientStatement } from '../backend/statement.ts'
 import type { Route } from '../configuration/configuration.ts'
 import type { RequiredSessionState } from '../pool/pooled-connection.ts'
+import type { SessionAttempts } from './session-attempts.ts'
 
 /** A statement to run on an endpoint, with its session, its workspace and the route that sets its limits. */
 export interface Operation {
@@ -16,6 +17,8 @@
   allowedRegions?: readonly string[]
   /** Log position of the session's last write; `null` before the first. */
   sessionPosition: LogPosition | null
+  /** Where its attempts are recorded that may outlive it; absent for an operation without a session of this VM. */
+  attempts?: SessionAttempts
   /** Time at which the statement was taken from the client's queue; its time limits count from here. */
   receivedAtMs: number
 }
--- a/packages/gateway/src/statements/run-read.test.ts
+++ b/packages/gateway/src/statements/run-read.test.ts
@@ -4,10 +4,13 @@
 import { addSample, recordLeadership } from '../freshness/group-state.ts'
 import { ServiceGroup } from '../groups/service-group.ts'
 import type { PooledConnection } from '../pool/pooled-connection.ts'
+import { Withdrawal } from '../pool/withdrawal.ts'
+import { waitFor } from '../runtime/wait-at-most.ts'
 import { VirtualTime } from '../testing/virtual-time.ts'
 import type { Operation } from './operation.ts'
 import { openTransaction } from './pinned-transaction.ts'
 import { runRead } from './run-read.ts'
+import { SessionAttempts } from './session-attempts.ts'
 import type { StatementContext } from './statement-context.ts'
 
 const logger = createLogger({ process: 'test', level: 'silent' })
@@ -16,16 +19,20 @@
 /** Connects to endpoints that respond at once, and records `ENDPOINT TEXT` with the position that the statement requires. */
 class RecordingConnector extends EndpointConnector {
   readonly sent: Array<[string, LogPosition | null]> = []
+  /** How long an endpoint works on a statement, which `sent` contains already. */
+  workMs = (): number => 0
 
   override async connect ({ endpoint }: { endpoint: string }): Promise<EndpointConnection> {
-    const respond = (text: string, required: LogPosition | null, state: 'idle' | 'open'): EndpointResponse => {
+    const respond = async (text: string, required: LogPosition | null, state: 'idle' | 'open'): Promise<EndpointResponse> => {
       this.sent.push([`${endpoint} ${text}`, required])
+      const workMs = this.workMs()
+      if (workMs > 0) await waitFor(workMs)
       return { rows: [], signature: null, error: null, state, position: null }
     }
     return {
       isOpen: true,
-      run: async (_id: string, text: string, required: LogPosition | null) => respond(text, required, 'idle'),
-      begin: async (_id: string, _isReadOnly: boolean, required: LogPosition | null) => respond('BEGIN', required, 'open'),
+      run: async (_id: string, text: string, required: LogPosition | null) => await respond(text, required, 'idle'),
+      begin: async (_id: string, _isReadOnly: boolean, required: LogPosition | null) => await respond('BEGIN', required, 'open'),
       subscribeClose: () => {},
       close: () => {}
     } as unknown as EndpointConnection
@@ -117,6 +124,35 @@
     expect([...group.pools.values()].map(p => p.pendingRequestCount)).to.deep.equal([0, 0])
   })
 
+  // It runs with the values and prepared statements of the time when it was sent, so the session must not acknowledge others before it has ended.
+  it('counts as an attempt of its session until every endpoint that it was sent to has responded, although one has answered it', async () => {
+    recordLeadership(group.state, 'p', time.readNow())
+    addSample(group.state, { atMs: time.readNow(), position: { term: 1, index: 1 } })
+    const attempts = new SessionAttempts()
+    connector.workMs = () => connector.sent.length === 1 ? 900 : 10
+    const outcome = runRead(context, group, { ...createOperation(10_000), attempts })
+    await time.advance(700)
+    expect(await outcome).to.have.property('response')
+    expect(connector.sent).to.have.length(2)
+    expect(attempts.count).to.equal(1)
+    await time.advance(400)
+    expect(attempts.count).to.equal(0)
+  })
+
+  it('is sent to no endpoint once it has been answered elsewhere', async () => {
+    recordLeadership(group.state, 'p', time.readNow())
+    addSample(group.state, { atMs: time.readNow(), position: { term: 1, index: 1 } })
+    const connections = [await acquire('p'), await acquire('a')]
+    const withdrawal = new Withdrawal()
+    const outcome = runRead(context, group, createOperation(10_000), withdrawal)
+    await time.advance(100)
+    withdrawal.withdraw()
+    for (const c of connections) group.pools.get(c.endpoint)!.release(c, true)
+    await time.advance(4_000)
+    expect(await outcome).to.have.property('refusal')
+    expect(connector.sent).to.deep.equal([])
+  })
+
   it('requires a position that is fresh enough when it is sent, not when it began to wait for a connection', async () => {
     recordLeadership(group.state, 'p', time.readNow())
     addSample(group.state, { atMs: time.readNow(), position: { term: 1, index: 1 } })
--- a/packages/gateway/src/statements/run-read.ts
+++ b/packages/gateway/src/statements/run-read.ts
@@ -48,18 +48,26 @@
  * Runs a read outside of a transaction.
  *
  * The read changes nothing, so it may run on several endpoints: after a failed attempt, and also while an endpoint
- * is slow to respond, as far as the group's retry budget allows. Attempts that still wait when the read ends are withdrawn.
+ * is slow to respond, as far as the group's retry budget allows. Attempts that still wait when the read ends, or is withdrawn
+ * because it has been answered elsewhere, are withdrawn.
  *
  * @returns the first response that is not to be retried, else the last response with an error or a refusal
  */
-export async function runRead (context: StatementContext, group: ServiceGroup, operation: Operation): Promise<Outcome> {
+export async function runRead (
+  context: StatementContext,
+  group: ServiceGroup,
+  operation: Operation,
+  withdrawal: Withdrawal = new Withdrawal()
+): Promise<Outcome> {
   const refusal = refuseRuledOutRead(context, group, operation)
   if (refusal !== undefined) return refusal
-  const withdrawal = new Withdrawal()
+  const attemptsWithdrawal = new Withdrawal()
+  const unsubscribe = withdrawal.subscribe(() => attemptsWithdrawal.withdraw())
   try {
-    return await runAttempts(context, group, operation, withdrawal)
+    return await runAttempts(context, group, operation, attemptsWithdrawal)
   } finally {
-    withdrawal.withdraw()
+    unsubscribe()
+    attemptsWithdrawal.withdraw()
   }
 }
 
@@ -82,7 +90,9 @@
     if (typeof target !== 'string') {
       triedEndpoints.add(target.pool.entry.endpoint)
       const waitMs = computeAttemptWaitMs(group, operation, target.pool, { isFirst: attemptCount === 1, wasSent, nowMs: clock.readNow() })
-      pendingAttempts.add(startAttempt(context, group, operation, target, { waitMs, withdrawal }))
+      const attempt = startAttempt(context, group, operation, target, { waitMs, withdrawal })
+      pendingAttempts.add(attempt)
+      recordAttempt(operation, attempt)
     } else if (pendingAttempts.size === 0) return createFailureOutcome(context, group, operation, target, lastResult)
     const resultWaitMs = typeof target === 'string' ? computeTimeLeftMs(operation, clock.readNow()) : computeHedgeDelayMs(target)
     lastResult = await waitForResult(pendingAttempts, resultWaitMs) ?? lastResult
@@ -90,10 +100,14 @@
     if (hasFinalResponse(lastResult)) return { response: lastResult.response, endpoint: lastResult.endpoint }
     if (computeTimeLeftMs(operation, clock.readNow()) <= 1) return createFailureOutcome(context, group, operation, 'none', lastResult)
     const canAttemptAgain = pendingAttempts.size === 0 || spendRetry(retryBudget)
-    target = canAttemptAgain ? selectNextTarget(context, group, operation, triedEndpoints, attemptCount) : 'none'
+    target = canAttemptAgain && !withdrawal.isWithdrawn ? selectNextTarget(context, group, operation, triedEndpoints, attemptCount) : 'none'
   }
 }
 
+function recordAttempt ({ attempts }: Operation, attempt: Promise<AttemptResult>): void {
+  attempts?.add(attempt)
+}
+
 function hasFinalResponse (result: AttemptResult | undefined): result is Extract<AttemptResult, { kind: 'responded' }> {
   return result?.kind === 'responded' && !isRetryable(result.response.error?.code)
 }
@@ -216,7 +230,7 @@
     pool.release(connection, true)
     return { kind: 'notRun', reason: `the failure domain of ${pool.entry.endpoint} is evacuated`, code: 'busy', retryAfterMs: RETRY_AFTER_MS }
   }
-  if (withdrawal.isWithdrawn) {
+  if (withdrawal.isWithdrawn || computeTimeLeftMs(operation, clock.readNow()) <= 1) {
     pool.release(connection, true)
     return createWithdrawnResult()
   }
--- a/packages/gateway/src/testing/forwarding-fleet.ts
+++ b/packages/gateway/src/testing/forwarding-fleet.ts
@@ -12,6 +12,7 @@
 import { GatewaySessionHost, type GatewaySessionHostOptions } from '../sessions/gateway-session-host.ts'
 import { gatewaySettingsSchema } from '../settings.ts'
 import type { Operation } from '../statements/operation.ts'
+import type { SessionAttempts } from '../statements/session-attempts.ts'
 import { createGatewayMetrics } from '../telemetry/gateway-metrics.ts'
 import type { SimulatedProcess, VirtualTime } from './virtual-time.ts'
 
@@ -84,6 +85,15 @@
 
 export interface ForwardingVm { host: GatewaySessionHost, forwarder: StatementForwarder, network: FakeNetwork, members: MemberState, servingVms: ServingVms, configuration: ConfigurationHolder, groups: GroupTable, process: SimulatedProcess, decisions: string[], served: string[] }
 
+export interface RunOptions {
+  isWrite?: boolean
+  session?: string
+  values?: Record<string, string>
+  routeChanges?: Partial<Route>
+  allowedRegions?: string[]
+  attempts?: SessionAttempts
+}
+
 /** Three VMs of a fleet of 24 with real session hosts, two of which serve the service, before one endpoint. */
 export class ForwardingFleet {
   readonly time: VirtualTime
@@ -143,7 +153,7 @@
   }
 
   /** Has a client of a VM run a statement, and returns `ROWS SIGNATURE`, or the code of its error. */
-  async run (vm: string, id: string, { isWrite = false, session = 'session-1', values = {}, routeChanges = {}, allowedRegions }: { isWrite?: boolean, session?: string, values?: Record<string, string>, routeChanges?: Partial<Route>, allowedRegions?: string[] } = {}): Promise<string> {
+  async run (vm: string, id: string, { isWrite = false, session = 'session-1', values = {}, routeChanges = {}, allowedRegions, attempts }: RunOptions = {}): Promise<string> {
     const { host, process } = this.vms.get(vm)!
     const operation: Operation = {
       statement: { id, text: id, type: isWrite ? 'write' : 'read' },
@@ -153,6 +163,7 @@
       route: { ...route, ...routeChanges },
       allowedRegions,
       sessionPosition: null,
+      attempts,
       receivedAtMs: this.time.readNow()
     }
     const outcome = await this.time.runAs(process, async () => isWrite ? await host.runWrite(operation) : await host.runRead(operation))
