--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,4 +1,6 @@
-import neostandard from 'neostandard'
+import neostandard, { plugins } from 'neostandard'
+
+const typescript = plugins['typescript-eslint']
 
 export default [
   ...neostandard({ ts: true, ignores: ['target/**', '**/dist/**', 'reports/**'] }),
@@ -6,6 +8,16 @@
     files: ['**/*.test.ts'],
     rules: { 'no-unused-expressions': 'off', '@typescript-eslint/no-unused-expressions': 'off' }
   },
+  {
+    // A promise that nobody awaits must handle its rejection, which otherwise reaches the top of the process.
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    plugins: { '@typescript-eslint': typescript.plugin },
+    languageOptions: { parser: typescript.parser, parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    rules: {
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-misused-promises': 'error'
+    }
+  },
   {
     rules: {
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
--- a/packages/ctl/src/object-edits.test.ts
+++ b/packages/ctl/src/object-edits.test.ts
@@ -32,7 +32,7 @@
     const isLost = this.#random() < this.#lossRate
     // The client may give up before the write reaches the store.
     if (isLost && this.#random() < 0.5) {
-      this.#pause().then(() => this.#apply(kind, name, version, value))
+      this.#pause().then(() => this.#apply(kind, name, version, value)).catch(() => {}) // Nobody learns of a conflict.
       await this.#pause()
       throw new UnknownOutcomeError('lost')
     }
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -82,7 +82,7 @@
   /** Requests the role of all endpoints and records the primary. Resets the known primary if it is now a replica and no endpoint leads. */
   async findPrimary (group: ServiceGroup): Promise<void> {
     await this.#runOnce(`find ${group.service}`, async () => {
-      const asked = copyPrimary(group)
+      const asked = readPrimary(group)
       const roles = new Map<string, 'primary' | 'replica' | null>()
       await Promise.all([...group.pools].map(async ([endpoint, { entry }]) => { roles.set(endpoint, await this.checkRole(group, entry)) }))
       const hasLeader = [...roles.values()].includes('primary')
@@ -109,13 +109,13 @@
     const { clock, logger } = this.#options
     const primaryEntry = group.primaryPool?.entry
     if (group.state.primary?.term === 0 && primaryEntry !== undefined) await this.checkRole(group, primaryEntry)
-    const primary = copyPrimary(group)
+    const primary = readPrimary(group)
     const sentAtMs = clock.readNow()
     // Without a term, a replica that has not joined the group yet would count as one that follows.
     if (primary === null || primary.term === 0 || group.pools.size === 0) return
     const replicaCount = [...group.pools.keys()].filter(e => e !== primary.endpoint).length
     try {
-      await Promise.all([this.#proveUnfenced(group, primary), this.#confirmPrimary(group, primary, sentAtMs)])
+      await Promise.all([this.#verifyUnfenced(group, primary), this.#confirmPrimary(group, primary, sentAtMs)])
       if (!isKnownPrimary(group, primary)) throw new Error('the known primary has changed since the replicas were asked')
       recordVerification(group.state, primary.endpoint, sentAtMs, group.state.confirmedAtMs)
       const confirmationAgeMs = Math.round(clock.readNow() - group.state.confirmedAtMs)
@@ -126,7 +126,7 @@
   }
 
   /** Asks the replicas whether the group is fenced. @throws Error unless they prove that it is not */
-  async #proveUnfenced (group: ServiceGroup, primary: KnownPrimary): Promise<void> {
+  async #verifyUnfenced (group: ServiceGroup, primary: KnownPrimary): Promise<void> {
     const paused = new Map<string, number>()
     const unpaused = new Set<string>()
     const verify = async (entry: EndpointEntry): Promise<void> => {
@@ -217,7 +217,7 @@
   }
 }
 
-function copyPrimary ({ state: { primary } }: ServiceGroup): KnownPrimary | null {
+function readPrimary ({ state: { primary } }: ServiceGroup): KnownPrimary | null {
   return primary === null ? null : { ...primary }
 }
 
--- a/packages/gateway/src/pool/pooled-connection.ts
+++ b/packages/gateway/src/pool/pooled-connection.ts
@@ -20,6 +20,7 @@
   #heldSession: string | null = null
   readonly #heldValues = new Map<string, string>()
   readonly #heldPrepared = new Map<string, PreparedStatement>()
+  #restoring: ReadonlyArray<Promise<EndpointResponse>> = []
 
   constructor (id: number, endpoint: string, connection: EndpointConnection) {
     this.id = id
@@ -33,12 +34,11 @@
 
   /**
    * Sends the commands that give the connection the session's values and the prepared statement that runs next.
-   * It does not wait for the responses, because the endpoint runs commands in the order in which they are sent.
+   * It does not wait for the responses (`waitForRestore`), because the endpoint runs commands in the order in which they are sent.
    *
    * @param preparedName the prepared statement to be executed next; `null` for none
-   * @returns the pending responses; one rejects only if the connection is lost, and then the next statement fails as well
    */
-  restoreSession (required: RequiredSessionState, preparedName: string | null): Array<Promise<EndpointResponse>> {
+  restoreSession (required: RequiredSessionState, preparedName: string | null): void {
     const responses: Array<Promise<EndpointResponse>> = []
     if (this.#heldSession !== required.session) {
       if (this.#heldValues.size > 0 || this.#heldPrepared.size > 0) responses.push(this.connection.discard())
@@ -53,7 +53,12 @@
     }
     if (preparedName !== null) this.#restorePrepared(required, preparedName, responses)
     for (const response of responses) response.catch(() => {}) // The statement that follows reports the lost connection.
-    return responses
+    this.#restoring = responses
+  }
+
+  /** Waits for the responses to the commands of the latest `restoreSession`. @throws ConnectionLostError if the connection is lost; the next statement fails as well */
+  async waitForRestore (): Promise<void> {
+    await Promise.all(this.#restoring)
   }
 
   async run (id: string, text: string, requiredPosition: LogPosition | null): Promise<EndpointResponse> {
--- a/packages/gateway/src/statements/run-read.ts
+++ b/packages/gateway/src/statements/run-read.ts
@@ -252,10 +252,10 @@
   if ('kind' in prepared) return prepared
   const { connection, requiredPosition } = prepared
   context.leaving?.recordSent(group.service, pool)
-  const restoreResponses = connection.restoreSession(requiredState, preparedName)
+  connection.restoreSession(requiredState, preparedName)
   try {
     const response = await group.runStatement(pool, false, computeTimeLeftMs(operation, clock.readNow()), async () => await connection.run(statement.id, statement.text, requiredPosition), route.name)
-    await Promise.all(restoreResponses)
+    await connection.waitForRestore()
     pool.release(connection, response.state === 'idle')
     recordReadTime(context, group, operation, target, selectedAtMs, response.error?.code)
     if (response.error?.code === 'lagging') pool.laggingUntilMs = clock.readNow() + LAGGING_AVOID_MS
--- a/packages/gateway/src/statements/run-write.ts
+++ b/packages/gateway/src/statements/run-write.ts
@@ -81,10 +81,10 @@
     pool.release(connection, true)
     return createRetryRefusal('busy', 'the primary is not known to lead', Math.max(UNVERIFIED_RETRY_AFTER_MS, context.estimateRecoveryMs(group)))
   }
-  const restoreResponses = connection.restoreSession(requiredState, preparedName)
+  connection.restoreSession(requiredState, preparedName)
   try {
     const response = await runLeasedWrite(context, group, operation, pool, connection)
-    await Promise.all(restoreResponses)
+    await connection.waitForRestore()
     pool.release(connection, response.state === 'idle')
     context.logResponse(operation, pool, null, response)
     if (response.error?.code === 'readOnly') context.refreshPrimary(group)
--- a/packages/proxy/src/configuration/start-configuration.ts
+++ b/packages/proxy/src/configuration/start-configuration.ts
@@ -52,13 +52,14 @@
     stop
   })
 
+  const handleError = (error: unknown): void => { options.logger.error('request for configuration objects failed', { slice: SLICE, error: String(error) }) }
   function runEffect (effect: ConfigurationEffect, tell: SendToActor): void {
     switch (effect.type) {
       case 'list':
-        requestListing(options, tell)
+        requestListing(options, tell).catch(handleError)
         break
       case 'watch':
-        requestWatch(options, effect.since, effect.waitMs, abort.signal, tell)
+        requestWatch(options, effect.since, effect.waitMs, abort.signal, tell).catch(handleError)
         break
       case 'send':
         peers.send(effect.to, SLICE, effect.body)
--- a/packages/proxy/src/membership/membership-actor.ts
+++ b/packages/proxy/src/membership/membership-actor.ts
@@ -138,7 +138,7 @@
         this.#send(effect)
         break
       case 'poll':
-        this.#pollVmList()
+        this.#pollVmList().catch((error: unknown) => this.#options.logger.error('VM list not applied', { error: String(error) }))
         break
       case 'changed':
         this.#recordChange(effect.member, effect.reason)
--- a/packages/proxy/src/retries/run-named-write.ts
+++ b/packages/proxy/src/retries/run-named-write.ts
@@ -165,6 +165,13 @@
   return await runAttempt(context, request, endpoint)
 }
 
+/** Deletes the records that are past their retention. A failure is made up for by the next deletion. */
+function deleteOldRecords (context: ServingContext, endpoint: string): void {
+  runSystemStatement(context, endpoint, formatRecordCleanup(Date.now())).catch((error: unknown) => {
+    context.logger.warn('old write records not deleted', { endpoint, error: String(error) })
+  })
+}
+
 async function runAtPrimary (context: ServingContext, request: AcceptedRequest): Promise<AttemptOutcome> {
   const primary = await waitForPrimary(context, request, request.required)
   if (primary === undefined) {
@@ -172,7 +179,7 @@
   }
   const outcome = await runAttemptEnsuringTable(context, request, primary.endpoint)
   logRoutingDecision(context, request, primary.endpoint, `named write: ${outcome.kind}`)
-  if (++namedWriteCount % WRITES_PER_RECORD_CLEANUP === 0) runSystemStatement(context, primary.endpoint, formatRecordCleanup(Date.now()))
+  if (++namedWriteCount % WRITES_PER_RECORD_CLEANUP === 0) deleteOldRecords(context, primary.endpoint)
   return outcome
 }
 
--- a/packages/proxy/src/serving/start-database-service.ts
+++ b/packages/proxy/src/serving/start-database-service.ts
@@ -90,7 +90,9 @@
   if (primary === undefined) return
   const view = context.group.listInstances().find(i => i.endpoint.endpoint === primary.endpoint.endpoint)
   if (!view?.status || isLastAppliedOfCurrentTerm(view.status)) return
-  context.termBarrier.confirm(context, primary.endpoint.endpoint, view.status.term)
+  context.termBarrier.confirm(context, primary.endpoint.endpoint, view.status.term).catch((error: unknown) => {
+    context.logger.warn('term of the primary not confirmed', { endpoint: primary.endpoint.endpoint, error: String(error) })
+  })
 }
 
 class GroupDatabaseService extends DatabaseService {
--- a/packages/proxy/src/transactions/run-transaction.ts
+++ b/packages/proxy/src/transactions/run-transaction.ts
@@ -216,7 +216,7 @@
     const transaction = this.#openTransactions.get(id)
     if (transaction === undefined || transaction.isAbandoned) return
     if (transaction.isRunning) this.#endTransaction(transaction, false)
-    else this.#rollBack(transaction)
+    else this.#rollBack(transaction).catch((error: unknown) => this.#context.logger.warn('abandoned transaction not ended', { transaction: id, error: String(error) }))
   }
 
   async #rollBack (transaction: Transaction): Promise<void> {
