--- a/scripts/test.js
+++ b/scripts/test.js
@@ -2,11 +2,15 @@
 // KNOWN-RED.txt does not list, or if no test passes.
 import { existsSync, readFileSync } from 'node:fs'
 import { availableParallelism } from 'node:os'
+import { fileURLToPath } from 'node:url'
 import { globSync } from 'glob'
 import Mocha from 'mocha'
+import './fail-on-rejections.js'
 
 const TEST_TIMEOUT_MS = 60_000
 const knownRedFile = 'KNOWN-RED.txt'
+/** Loaded by each process that runs tests side by side. */
+const rejectionsFile = fileURLToPath(new URL('fail-on-rejections.js', import.meta.url))
 /** Tests under virtual time, which take most of the processor time. They run side by side, as no time limit of theirs depends on the machine. */
 const virtualTimePatterns = ['packages/gateway/src/{failover,limits}/**/*.test.ts', 'packages/gateway/src/testing/**/*.test.ts', 'packages/proxy/src/limits/**/*.test.ts']
 
@@ -33,7 +37,7 @@
 /** Runs the tests of some files, side by side if there are several jobs, and adds the titles of what passed and failed. */
 async function runFiles (files, { jobs, passed, failed }) {
   if (files.length === 0) return
-  const mocha = new Mocha({ timeout: TEST_TIMEOUT_MS, forbidOnly: true, parallel: jobs > 1, jobs })
+  const mocha = new Mocha({ timeout: TEST_TIMEOUT_MS, forbidOnly: true, parallel: jobs > 1, jobs, require: [rejectionsFile] })
   for (const file of files) mocha.addFile(file)
   if (jobs <= 1) await mocha.loadFilesAsync()
   await new Promise(resolve => {
