--- a/packages/gateway/src/pool/endpoint-scheduler.test.ts
+++ b/packages/gateway/src/pool/endpoint-scheduler.test.ts
@@ -5,6 +5,9 @@
 import type { ConnectionRequest } from './connection-plan.ts'
 import { EndpointScheduler } from './endpoint-scheduler.ts'
 
+/** Part of what the earlier policy leaves unserved that scheduling may leave unserved. */
+const MAX_REMAINING_LOSS = 0.39
+
 function createRequest (id: number, priority: number): ConnectionRequest {
   return { id, workspace: 'lab', session: `s${id}`, priority, requestedAtMs: 0, deadlineMs: 100 }
 }
@@ -48,8 +51,11 @@
     this.timeout(240_000)
     const pattern = loadPatterns.find(p => p.name === '35 VMs, a replica that flaps')!
     const [before, now] = [await runLoad(pattern, { ...earlierWaiting, ...longIdleTimes }), await runLoad(pattern, scheduledWaiting)]
-    expect(now.served).to.be.at.least(before.served + 0.02)
-    expect(now.byKind.urgent).to.be.at.least(before.byKind.urgent! + 0.08)
+    expect(1 - now.served).to.be.at.most((1 - before.served) * MAX_REMAINING_LOSS)
+    expect(1 - now.byKind.urgent!).to.be.at.most((1 - before.byKind.urgent!) * MAX_REMAINING_LOSS)
+    const withPresentIdleTimes = await runLoad(pattern, earlierWaiting)
+    expect(now.served).to.be.greaterThan(withPresentIdleTimes.served)
+    expect(now.byKind.urgent).to.be.greaterThan(withPresentIdleTimes.byKind.urgent!)
     expect(now.refusedAfterQuarter).to.be.lessThan(before.refusedAfterQuarter)
   })
 })
