Ask the primary for its role only if a replica is silent

A status request takes a slot and a connection of the primary, which every VM needs.

Cause: the primary's word is needed only where the promotion may have paused another replica than the one that answers. If every replica that may run follows and is not paused, the endpoint to be promoted has not been paused yet, so that the promotion's wait for the lease has not begun.

Evidence: `does not ask the primary, whose slots are scarce, if every replica proves that the group is not fenced` failed before.

--- a/packages/gateway/src/failover/verify-leadership.test.ts
+++ b/packages/gateway/src/failover/verify-leadership.test.ts
@@ -175,12 +175,20 @@
 
   it('begins the lease when the primary last confirmed that it leads, and asks it only if that is long ago', async () => {
     const { group, verifier, connector, clock } = createFixture()
+    connector.silent.add('b')
     recordOwnWord(group.state, 'p', 1, clock.nowMs - 300)
     connector.statuses.set('p', { role: 'replica' })
     await verifier.verifyLeadership(group, 1_000)
     expect(group.state.leadershipLeaseEndsMs).to.equal(clock.nowMs - 300 + LEADER_LEASE_MS)
   })
 
+  it('does not ask the primary, whose slots are scarce, if every replica proves that the group is not fenced', async () => {
+    const { group, verifier, connector, clock } = createFixture()
+    connector.silent.add('p')
+    await verifier.verifyLeadership(group, 1_000)
+    expect(isPrimaryFresh(group.state, 0, clock.nowMs)).to.equal(true)
+  })
+
   it('proves nothing of a primary that became known after the replicas were asked, although one of them follows its term', async () => {
     const { group, verifier, connector, clock } = createFixture()
     for (const endpoint of ['a', 'b']) connector.statuses.set(endpoint, { term: 2 })
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -36,8 +36,9 @@
  * sufficient proof.
  *
  * A replica that is not paused and follows the primary's term proves that the group was not fenced when the status request
- * was sent, since a promotion pauses every replica first that it reaches. It proves nothing if another replica has been paused recently, or
- * if the primary has stepped down, so the primary must have confirmed lately that it leads.
+ * was sent, since a promotion pauses every replica first that it reaches. It proves nothing if another replica has been paused recently. If
+ * another replica is silent, a promotion may have had the primary step down and paused that one alone, so the primary must have confirmed
+ * lately that it leads.
  */
 export class LeadershipVerifier {
   readonly #options: LeadershipVerifierOptions
@@ -115,26 +116,33 @@
     if (primary === null || primary.term === 0 || group.pools.size === 0) return
     const replicaCount = [...group.pools.keys()].filter(e => e !== primary.endpoint).length
     try {
-      await Promise.all([this.#verifyUnfenced(group, primary), this.#confirmPrimary(group, primary, sentAtMs)])
+      const isProvedByAll = await this.#verifyUnfenced(group, primary)
+      if (!isProvedByAll) await this.#confirmPrimary(group, primary, sentAtMs)
       if (!isKnownPrimary(group, primary)) throw new Error('the known primary has changed since the replicas were asked')
-      recordVerification(group.state, primary.endpoint, sentAtMs, group.state.confirmedAtMs)
-      const confirmationAgeMs = Math.round(clock.readNow() - group.state.confirmedAtMs)
-      logger.info('leadership verified', { service: group.service, primary: primary.endpoint, term: primary.term, replicaCount, confirmationAgeMs })
+      recordVerification(group.state, primary.endpoint, sentAtMs, isProvedByAll ? sentAtMs : group.state.confirmedAtMs)
+      logger.info('leadership verified', { service: group.service, primary: primary.endpoint, term: primary.term, replicaCount, isProvedByAll })
     } catch (error) {
       logger.info('leadership not verified', { reason: describeError(error), service: group.service, primary: primary.endpoint, term: primary.term, replicaCount })
     }
   }
 
-  /** Asks the replicas whether the group is fenced. @throws Error unless they prove that it is not */
-  async #verifyUnfenced (group: ServiceGroup, primary: KnownPrimary): Promise<void> {
+  /**
+   * Asks the replicas whether the group is fenced.
+   *
+   * @returns whether every replica that may run has proved that it is not
+   * @throws Error unless a sufficient part of them has
+   */
+  async #verifyUnfenced (group: ServiceGroup, primary: KnownPrimary): Promise<boolean> {
     const paused = new Map<string, number>()
     const unpaused = new Set<string>()
+    const following = new Set<string>()
     const verify = async (entry: EndpointEntry): Promise<void> => {
       const status = await this.#findStatus(entry)
       if (status?.role === 'replica' && status.pausedForTerm > primary.term) paused.set(entry.endpoint, status.pausedForTerm)
       else if (status !== null) unpaused.add(entry.endpoint)
       const isFollowing = status?.role === 'replica' && status.pausedForTerm === 0 && status.term === primary.term
       if (!isFollowing) throw new Error(`${entry.endpoint}: expected a replica that is not paused and follows the primary's term`)
+      following.add(entry.endpoint)
     }
     const replicas = [...group.pools.values()].filter(p => p.entry.endpoint !== primary.endpoint)
     const proofs = replicas.map(p => ({ entry: p.entry, proof: verify(p.entry) }))
@@ -149,6 +157,7 @@
       throw error
     }
     if (this.#isPauseRecent(group, paused, unpaused)) throw new Error('a replica is paused, so a promotion may be in progress')
+    return following.size === replicas.length && group.departures.every(d => d.isGone === true)
   }
 
   /** Asks the primary for its role if it has not confirmed lately that it leads. @throws Error unless it has confirmed that within a lease */
