--- a/packages/gateway/src/failover/known-primary-histories.test.ts
+++ b/packages/gateway/src/failover/known-primary-histories.test.ts
@@ -19,8 +19,8 @@
 const MAX_WRONG_MS = 3_000
 
 /**
- * One history in which endpoints change roles, answers and outcomes come late and repeatedly, also from replicas, and VMs are cut off. VMs of
- * an earlier build, if there are any, tell of an endpoint that does not lead as the primary of the latest term.
+ * One history in which endpoints change roles, answers and outcomes come late and repeatedly, also from replicas, and VMs are cut off.
+ * VMs of an earlier build, if there are any, tell of an endpoint that does not lead as the primary of the latest term.
  */
 class BeliefHistory {
   readonly fleet: SimulatedFleet
@@ -141,7 +141,8 @@
     const { endpoint, term } = leader
     for (const vm of fleet.vms.values()) {
       const { primary } = vm.group.state
-      if (primary?.endpoint !== endpoint || primary.term !== term) this.faults.add(`${vm.name} knows ${JSON.stringify(primary)} at the end, but ${endpoint} leads term ${term}`)
+      const isRight = primary?.endpoint === endpoint && primary.term === term
+      if (!isRight) this.faults.add(`${vm.name} knows ${JSON.stringify(primary)} at the end, but ${endpoint} leads term ${term}`)
     }
   }
 
--- a/packages/gateway/src/failover/verify-leadership.ts
+++ b/packages/gateway/src/failover/verify-leadership.ts
@@ -1,6 +1,13 @@
 import { describeError, type Clock, type Logger } from '@camphorpitch/wire'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { isLeadershipRevoked, LEADER_LEASE_MS, recordOwnWord, recordPrimaryResponse, recordVerification, type KnownPrimary } from '../freshness/group-state.ts'
+import {
+  isLeadershipRevoked,
+  LEADER_LEASE_MS,
+  recordOwnWord,
+  recordPrimaryResponse,
+  recordVerification,
+  type KnownPrimary
+} from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { recordContact } from '../pool/endpoint-health.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
@@ -115,14 +122,15 @@
     // Without a term, a replica that has not joined the group yet would count as one that follows.
     if (primary === null || primary.term === 0 || group.pools.size === 0) return
     const replicaCount = [...group.pools.keys()].filter(e => e !== primary.endpoint).length
+    const inputs = { service: group.service, primary: primary.endpoint, term: primary.term, replicaCount }
     try {
       const isProvedByAll = await this.#verifyUnfenced(group, primary)
       if (!isProvedByAll) await this.#confirmPrimary(group, primary, sentAtMs)
       if (!isKnownPrimary(group, primary)) throw new Error('the known primary has changed since the replicas were asked')
       recordVerification(group.state, primary.endpoint, sentAtMs, isProvedByAll ? sentAtMs : group.state.confirmedAtMs)
-      logger.info('leadership verified', { service: group.service, primary: primary.endpoint, term: primary.term, replicaCount, isProvedByAll })
+      logger.info('leadership verified', { ...inputs, isProvedByAll })
     } catch (error) {
-      logger.info('leadership not verified', { reason: describeError(error), service: group.service, primary: primary.endpoint, term: primary.term, replicaCount })
+      logger.info('leadership not verified', { ...inputs, reason: describeError(error) })
     }
   }
 
@@ -160,13 +168,19 @@
     return following.size === replicas.length && group.departures.every(d => d.isGone === true)
   }
 
-  /** Asks the primary for its role if it has not confirmed lately that it leads. @throws Error unless it has confirmed that within a lease */
+  /**
+   * Asks the primary for its role if it has not confirmed lately that it leads.
+   *
+   * @throws Error unless it has confirmed that within a lease
+   */
   async #confirmPrimary (group: ServiceGroup, { endpoint }: KnownPrimary, sentAtMs: number): Promise<void> {
     const entry = group.pools.get(endpoint)?.entry
     const isRecent = sentAtMs - group.state.confirmedAtMs <= RECENT_CONFIRMATION_MS
     const role = isRecent || entry === undefined ? null : await this.checkRole(group, entry)
-    if (role === 'replica') this.#handleStepDown(group)
-    if (role === 'replica') throw new Error(`${endpoint}: the known primary is a replica`)
+    if (role === 'replica') {
+      this.#handleStepDown(group)
+      throw new Error(`${endpoint}: the known primary is a replica`)
+    }
     if (sentAtMs - group.state.confirmedAtMs >= LEADER_LEASE_MS) throw new Error('the primary has not confirmed that it leads')
   }
 
--- a/packages/gateway/src/pool/pooled-connection.ts
+++ b/packages/gateway/src/pool/pooled-connection.ts
@@ -56,7 +56,11 @@
     this.#restoring = responses
   }
 
-  /** Waits for the responses to the commands of the latest `restoreSession`. @throws ConnectionLostError if the connection is lost; the next statement fails as well */
+  /**
+   * Waits for the responses to the commands of the latest `restoreSession`.
+   *
+   * @throws ConnectionLostError if the connection is lost; the next statement fails as well
+   */
   async waitForRestore (): Promise<void> {
     await Promise.all(this.#restoring)
   }
--- a/packages/gateway/src/serving/forwarding-client.ts
+++ b/packages/gateway/src/serving/forwarding-client.ts
@@ -87,7 +87,9 @@
       this.#pending.set(request, { vm: vm.vm, servingIncarnation: vm.incarnation, health, bytes, sentAtMs: nowMs, rows: [], parts: 0, timers, resolve })
       recordForwarded(health, bytes, nowMs)
       this.#send(vm.vm, message)
-      withdrawal?.subscribe(() => { if (this.#pending.has(request)) this.#send(vm.vm, { type: 'withdraw', incarnation: network.self.incarnation, request }) })
+      withdrawal?.subscribe(() => {
+        if (this.#pending.has(request)) this.#send(vm.vm, { type: 'withdraw', incarnation: network.self.incarnation, request })
+      })
     })
   }
 
--- a/packages/gateway/src/serving/forwarding-messages.ts
+++ b/packages/gateway/src/serving/forwarding-messages.ts
@@ -71,7 +71,15 @@
 /** Tells that a statement is running, or that it has ended and no answer to it will be sent any more. */
 export const statusSchema = z.object({ type: z.literal('status'), ...requestIdShape, isRunning: z.boolean() })
 
-export const servingMessageSchema = z.discriminatedUnion('type', [runSchema, partSchema, outcomeSchema, notRunSchema, inquirySchema, withdrawSchema, statusSchema])
+export const servingMessageSchema = z.discriminatedUnion('type', [
+  runSchema,
+  partSchema,
+  outcomeSchema,
+  notRunSchema,
+  inquirySchema,
+  withdrawSchema,
+  statusSchema
+])
 export type ServingMessage = z.infer<typeof servingMessageSchema>
 export type OutcomeMessage = z.infer<typeof outcomeSchema>
 
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -372,7 +372,10 @@
     }
   }
 
-  /** Waits until no attempt of an earlier read can run any more with values or prepared statements that the client is about to see replaced. */
+  /**
+   * Waits until no attempt of an earlier read can run any more with values or prepared statements that the client is about to see
+   * replaced.
+   */
   async #waitForAttempts ({ id, type }: ClientStatement): Promise<void> {
     const { count } = this.#attempts
     if (count === 0) return
--- a/packages/gateway/src/testing/fault-injection.test.ts
+++ b/packages/gateway/src/testing/fault-injection.test.ts
@@ -15,6 +15,7 @@
 
 const logger = createLogger({ process: 'test', level: 'silent' })
 const TIMEOUT_MS = 1_000
+const POSITION = { term: 1, index: 5 }
 /** Times after which a call fails: at once, after others have answered, and after those who wait for it have given up. */
 const FAILURE_DELAYS_MS = [0, 30, 5_000]
 /** More than the number of calls of any of the actions. */
@@ -28,10 +29,11 @@
 
   override async connect ({ endpoint }: { endpoint: string }): Promise<EndpointConnection> {
     await this.#call()
-    const status: EndpointStatus = { role: endpoint === 'p' ? 'primary' : 'replica', term: 1, received: { term: 1, index: 5 }, pausedForTerm: 0, lagMs: 0 }
+    const role = endpoint === 'p' ? 'primary' : 'replica'
+    const status: EndpointStatus = { role, term: 1, received: POSITION, pausedForTerm: 0, lagMs: 0 }
     const respond = async (state: 'idle' | 'open' = 'idle'): Promise<EndpointResponse> => {
       await this.#call()
-      return { rows: [], signature: 's', error: null, state, position: { term: 1, index: 5 } }
+      return { rows: [], signature: 's', error: null, state, position: POSITION }
     }
     const readStatus = async (): Promise<EndpointStatus> => {
       await this.#call()
@@ -81,7 +83,7 @@
   for (const endpoint of ['p', ...replicas]) group.updateEntry({ endpoint, service: 's', address: `127.0.0.1:${endpoint}`, failureDomain: 'north', role: endpoint === 'p' ? 'primary' : 'replica', isDraining: false, slots: 3, warmupLeftMs: 0, startedAtMs })
   group.adoptPrimary('p', 1, 'test')
   recordVerification(group.state, 'p', time.readNow())
-  addSample(group.state, { atMs: time.readNow(), position: { term: 1, index: 5 } })
+  addSample(group.state, { atMs: time.readNow(), position: POSITION })
   const verifier = new LeadershipVerifier({ clock: time, logger, control: new ControlConnections(connector) })
   const context: StatementContext = { clock: time, location: { failureDomain: 'north', regions: {} }, verifyLeadership: async (g, ms) => await verifier.verifyLeadership(g, ms), refreshPrimary: () => {}, estimateRecoveryMs: () => 0, rollbackTimeoutMs: TIMEOUT_MS, logResponse: () => {}, recordUnleasedResponse: () => {}, logNoResponse: () => {} }
   const operation: Operation = { statement: { id: '1', text: 'EXECUTE q', type: 'execute', name: 'q' }, requiredState, preparedName: 'q', workspace: 'w', route, sessionPosition: null, receivedAtMs: time.readNow() }
--- a/packages/load/src/experiment/run-experiment.ts
+++ b/packages/load/src/experiment/run-experiment.ts
@@ -139,7 +139,9 @@
   const readElapsedMs = () => performance.now() - startedAtMs
   const random = createSeededRandom(experiment.seed)
   const reportError = (error: unknown): void => console.error(`fault not brought about: ${describeError(error)}`)
-  const faultTimers = experiment.faults.map(fault => setTimeout(() => { attemptFault(run, fault, readElapsedMs).catch(reportError) }, fault.atMs))
+  const faultTimers = experiment.faults.map(fault => setTimeout(() => {
+    attemptFault(run, fault, readElapsedMs).catch(reportError)
+  }, fault.atMs))
   const progressTimer = setInterval(() => onProgress?.(readElapsedMs(), samples), PROGRESS_INTERVAL_MS)
   run.reads.start()
   const clientWorkspaces = experiment.workspaces.flatMap(workspace => Array.from({ length: workspace.callers }, () => workspace))
--- a/packages/load/src/measures/read-counter.ts
+++ b/packages/load/src/measures/read-counter.ts
@@ -24,7 +24,9 @@
 
   /** Starts to poll the endpoints' roles. */
   start (): void {
-    this.#timer = setInterval(() => { this.#pollRoles().catch((error: unknown) => console.error(`roles not read: ${String(error)}`)) }, ROLE_POLL_INTERVAL_MS)
+    this.#timer = setInterval(() => {
+      this.#pollRoles().catch((error: unknown) => console.error(`roles not read: ${String(error)}`))
+    }, ROLE_POLL_INTERVAL_MS)
   }
 
   stop (): void {
--- a/packages/proxy/src/configuration/start-configuration.ts
+++ b/packages/proxy/src/configuration/start-configuration.ts
@@ -52,7 +52,7 @@
     stop
   })
 
-  const handleError = (error: unknown): void => { options.logger.error('request for configuration objects failed', { slice: SLICE, error: String(error) }) }
+  const handleError = (error: unknown): void => logFailure(options, error)
   function runEffect (effect: ConfigurationEffect, tell: SendToActor): void {
     switch (effect.type) {
       case 'list':
@@ -101,6 +101,10 @@
   else logger.error('invalid configuration object ignored, last valid version stays in effect', { slice: SLICE, kind, name, version, problem })
 }
 
+function logFailure ({ logger }: ConfigurationOptions, error: unknown): void {
+  logger.error('request for configuration objects failed', { slice: SLICE, error: String(error) })
+}
+
 async function requestListing ({ objectClient, clock, logger }: ConfigurationOptions, tell: SendToActor): Promise<void> {
   const sentAtMs = clock.readNow()
   try {
--- a/packages/proxy/src/pool/instance-pool.ts
+++ b/packages/proxy/src/pool/instance-pool.ts
@@ -123,7 +123,9 @@
   #runEffect (effect: PoolEffect): void {
     switch (effect.type) {
       case 'open':
-        this.#openConnection(effect.connection).catch((error: unknown) => this.#options.logger.error('endpoint connection not recorded', { error: String(error) }))
+        this.#openConnection(effect.connection).catch((error: unknown) => {
+          this.#options.logger.error('endpoint connection not recorded', { error: String(error) })
+        })
         return
       case 'close':
         this.#connections.get(effect.connection)?.close()
--- a/packages/proxy/src/transactions/run-transaction.ts
+++ b/packages/proxy/src/transactions/run-transaction.ts
@@ -215,8 +215,10 @@
   abandon (id: string): void {
     const transaction = this.#openTransactions.get(id)
     if (transaction === undefined || transaction.isAbandoned) return
-    if (transaction.isRunning) this.#endTransaction(transaction, false)
-    else this.#rollBack(transaction).catch((error: unknown) => this.#context.logger.warn('abandoned transaction not ended', { transaction: id, error: String(error) }))
+    if (transaction.isRunning) return this.#endTransaction(transaction, false)
+    this.#rollBack(transaction).catch((error: unknown) => {
+      this.#context.logger.warn('abandoned transaction not ended', { transaction: id, error: String(error) })
+    })
   }
 
   async #rollBack (transaction: Transaction): Promise<void> {
