--- a/packages/gateway/src/failover/control-connections.ts
+++ b/packages/gateway/src/failover/control-connections.ts
@@ -16,7 +16,12 @@
 /** The endpoint that a command is for. */
 export type ControlTarget = Pick<EndpointEntry, 'endpoint' | 'service' | 'address'>
 
-interface CachedConnection { connection: Promise<EndpointConnection>, timer: NodeJS.Timeout | undefined }
+interface CachedConnection {
+  connection: Promise<EndpointConnection>
+  /** Number of commands that wait for a response on it. */
+  commands: number
+  idleTimer: NodeJS.Timeout | undefined
+}
 
 /** Connections for status requests and commands to endpoints. They are opened when needed and reused until idle. */
 export class ControlConnections {
@@ -36,15 +41,16 @@
    */
   async run (entry: ControlTarget, command: ControlCommand): Promise<EndpointStatus | null> {
     const cached = this.#acquire(entry)
-    clearTimeout(cached.timer)
+    clearTimeout(cached.idleTimer)
+    cached.commands++
     try {
       return await waitAtMost(command(await cached.connection), RESPONSE_TIMEOUT_MS, () => new ConnectionLostError('no response to a control command in time'))
     } catch (error) {
-      this.#drop(entry.endpoint)
+      this.#remove(entry.endpoint, cached)
       throw error
     } finally {
-      cached.timer = setTimeout(() => this.#drop(entry.endpoint), IDLE_TIMEOUT_MS)
-      cached.timer.unref()
+      cached.commands--
+      if (cached.commands === 0) this.#handleUnused(entry.endpoint, cached)
     }
   }
 
@@ -53,7 +59,7 @@
     if (existing !== undefined) return existing
     const { endpoint, service, address } = entry
     const connection = this.#connector.connect({ endpoint, service, address, workspace: CONTROL_WORKSPACE }, CONNECT_TIMEOUT_MS)
-    const cached: CachedConnection = { connection, timer: undefined }
+    const cached: CachedConnection = { connection, commands: 0, idleTimer: undefined }
     this.#cached.set(endpoint, cached)
     connection.then(c => c.subscribeClose(() => this.#remove(endpoint, cached)), () => this.#remove(endpoint, cached))
     return cached
@@ -63,9 +69,17 @@
     if (this.#cached.get(endpoint) === cached) this.#cached.delete(endpoint)
   }
 
-  #drop (endpoint: string): void {
-    const cached = this.#cached.get(endpoint)
-    this.#cached.delete(endpoint)
-    cached?.connection.then(c => c.close(), () => {}) // A connection that never opened needs no closing.
+  /** Closes a connection that no command waits on: at once if no other command will get it, otherwise when it has been idle. */
+  #handleUnused (endpoint: string, cached: CachedConnection): void {
+    if (this.#cached.get(endpoint) !== cached) return closeConnection(cached)
+    cached.idleTimer = setTimeout(() => {
+      this.#remove(endpoint, cached)
+      closeConnection(cached)
+    }, IDLE_TIMEOUT_MS)
+    cached.idleTimer.unref()
   }
 }
+
+function closeConnection ({ connection }: CachedConnection): void {
+  connection.then(c => c.close(), () => {}) // A connection that never opened needs no closing.
+}
