--- a/packages/gateway/src/failover/call-order.test.ts
+++ b/packages/gateway/src/failover/call-order.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { SimulatedPlatform } from '../testing/simulated-platform.ts'
 import { SimulatedFleet, type SimulatedVm } from '../testing/simulated-vm.ts'
+import { CALL_ARRIVAL_MS } from './claim-times.ts'
 
 const STEP_MS = 20
 /** Longest time for which a call stays unread here. */
@@ -103,4 +104,25 @@
     await promoteFor(UNREAD_MS + 5_000, restarted)
     expect(fleet.brokenOrders).to.deep.equal([])
   })
+
+  // Guards against a service without a primary for as long as the call of a VM may arrive that was killed and is back.
+  it('are repeated with the same token by the VM that has started again, which does not wait until the first one can not arrive', async () => {
+    const [vm1] = await startVms('vm1', 'vm2') as [SimulatedVm]
+    fleet.platform!.drawFate = () => {
+      calls++
+      return { toPlatformMs: 2, effectMs: 400, answerMs: 2 }
+    }
+    vm1.losesOrders = true
+    vm1.promote('primary lost').catch(() => {}) // Its VM ends.
+    await waitForCall(vm1)
+    vm1.kill()
+    await fleet.advance(1_000)
+    const restarted = fleet.startVm('vm1')
+    restarted.addEndpoints()
+    restarted.connector.unreachable.add('p')
+    await promoteFor(CALL_ARRIVAL_MS / 2, restarted)
+    expect(restarted.orders.map(o => o.fencingToken)).to.deep.equal([vm1.orders[0]!.fencingToken])
+    expect(['a', 'b'].map(e => fleet.group.find(e).role)).to.include('primary')
+    expect(fleet.brokenOrders).to.deep.equal([])
+  })
 })
--- a/packages/gateway/src/failover/duty-claim.test.ts
+++ b/packages/gateway/src/failover/duty-claim.test.ts
@@ -3,7 +3,7 @@
 import { MemoryStore, MemoryStoreState, type StoreCopy } from '../testing/memory-store.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
 import { DutyClaims, type Claim, type DutyClaimsOptions } from './duty-claim.ts'
-import { CLAIM_TAKEOVER_MS, CLAIM_VALID_MS } from './claim-times.ts'
+import { CALL_ARRIVAL_MS, CLAIM_TAKEOVER_MS, CLAIM_VALID_MS } from './claim-times.ts'
 
 const logger = createLogger({ process: 'test', level: 'silent' })
 
@@ -136,6 +136,26 @@
     expect(next.fencingToken).to.be.greaterThan(lost.fencingToken)
   })
 
+  // Guards against a repeated call with the token of a record, although another VM may have called with a later one whose record is lost.
+  it('do not tell the token of a call that an earlier start recorded, and are waited with', async () => {
+    const clock = new VirtualClock()
+    const state = new MemoryStoreState()
+    const a = createClaims(new MemoryStore(state), clock, 'a')
+    const order = { endpoint: 'p', startedAtMs: 1, replacedTerm: 1, received: { term: 1, index: 1 }, isProven: true, isAccepted: false, waits: 0, calls: 1, calledAtMs: 0 }
+    const recorded = (await a.recordOrder((await a.claim('orders'))!, order))!
+    const token = a.beginCall(recorded)
+    const restart = (incarnation: number): DutyClaims => new DutyClaims({ store: new MemoryStore(state), clock, logger, vm: 'a', incarnation })
+    const [restarted, copy] = [restart(2), state.createCopy()]
+    const claim = (await restarted.claim('orders'))!
+    expect(restarted.measureCallDelayMs(claim)).to.equal(0)
+    expect(restarted.beginCall((await restarted.recordOrder(claim, order))!)).to.equal(token)
+    state.restore(copy)
+    const late = restart(3)
+    await late.claim('orders')
+    clock.nowMs += CLAIM_TAKEOVER_MS
+    expect(late.measureCallDelayMs((await late.claim('orders'))!)).to.be.greaterThan(CALL_ARRIVAL_MS - CLAIM_TAKEOVER_MS - 1)
+  })
+
   it('are not granted at once to a VM that starts after the return', async () => {
     const clock = new VirtualClock()
     const { state, fleet: [a] } = createFleet(['a'], clock)
--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -334,8 +334,10 @@
     const { order, formerPrimary, stray, resumedUntilMs, pendingCall } = claim.data
     const hasUnreadableOrder = order === null && (current.value as { order?: unknown }).order != null
     if (hasUnreadableOrder) this.#options.logger.warn('promotion order recorded in the failover claim is not readable, it is not waited for', { name: current.name })
-    if (this.#isOfCurrentEpoch(current)) return { order, formerPrimary, stray, resumedUntilMs, pendingCall }
-    return { order: order === null ? null : { ...order, isProven: false }, formerPrimary: null, stray, resumedUntilMs, pendingCall }
+    if (this.#isOfCurrentEpoch(current)) return { order, formerPrimary, stray, resumedUntilMs, pendingCall: readToken(pendingCall, current.revision) }
+    // Later claims may be lost, so the token of the call may not be the latest one.
+    const callOfUnknownToken = pendingCall === null ? null : { ...pendingCall, fencingToken: undefined }
+    return { order: order === null ? null : { ...order, isProven: false }, formerPrimary: null, stray, resumedUntilMs, pendingCall: callOfUnknownToken }
   }
 
   /** Whether the object was written in the store's epoch, by a VM that knew the epoch. */
@@ -369,6 +371,11 @@
   }
 }
 
+/** Reads the token of a call whose record was written before the token was known: that of the record's revision. */
+function readToken (pendingCall: PendingCall | null, revision: Revision): PendingCall | null {
+  return pendingCall?.fencingToken === null ? { ...pendingCall, fencingToken: computeFencingToken(revision) } : pendingCall
+}
+
 /** Describes for the log who held a claim before, and with which revision. */
 function describeHolder (current: StoredObject<unknown> | undefined): object | null {
   const parsed = claimSchema.safeParse(current?.value)
--- a/packages/gateway/src/failover/pending-calls.ts
+++ b/packages/gateway/src/failover/pending-calls.ts
@@ -12,6 +12,8 @@
   number: z.number(),
   /** Time that had passed since the record of the call at least, when this was written, in milliseconds. */
   ageMs: z.number().nonnegative(),
+  /** Token of the call; `null` if it is that of the revision of the claim's object; absent if it is not known. */
+  fencingToken: z.number().nullable().optional(),
   /** Wall clock of the VM that wrote this. */
   writtenAtMs: z.number()
 })
@@ -41,8 +43,8 @@
  * The calls of the platform that may still arrive there. To end a request takes back nothing that was written: the call may be with a
  * kernel, or unread. So no call with another token is made before an earlier one was answered, or can't arrive any more.
  *
- * A VM that calls again while a call of its own may arrive uses the same token. Other VMs learn of the call from the claim's object, which
- * tells how old it is at least, and wait for the rest.
+ * A VM that calls again while a call of its own may arrive uses the same token, also after it has started again. Other VMs learn of the call
+ * from the claim's object, which tells how old it is at least, and wait for the rest.
  */
 export class PendingCalls {
   readonly #options: PendingCallsOptions
@@ -55,10 +57,17 @@
     this.#options = options
   }
 
-  /** Takes over what the claim's object tells when the claim is taken. A call that another VM has recorded ends what this VM may repeat. */
+  /**
+   * Takes over what the claim's object tells when the claim is taken. A call that another VM has recorded ends what this VM may repeat; one of
+   * an earlier start of this VM becomes its own.
+   */
   adopt (service: string, recorded: PendingCall | null): void {
     if (recorded === null || !this.#isOwn(service, recorded)) this.#own.delete(service)
-    if (recorded !== null) this.#measureAgeMs(service, recorded)
+    if (recorded === null) return
+    const ageMs = this.#measureAgeMs(service, recorded)
+    if (!this.#isOfEarlierStart(recorded)) return
+    const unansweredSinceMs = this.#options.waitClock.readNow() - ageMs
+    this.#own.set(service, { number: ++this.#lastNumber, fencingToken: recorded.fencingToken, unansweredSinceMs, recordedAtMs: null })
   }
 
   /** Plans a call, before it is recorded. */
@@ -94,14 +103,17 @@
   describe (service: string, recorded: PendingCall | null): PendingCall | null {
     const { vm, incarnation, waitClock } = this.#options
     const own = this.#findOwn(service)
-    if (own !== null) return { vm, incarnation, number: own.number, ageMs: waitClock.readNow() - own.sinceMs, writtenAtMs: Date.now() }
+    if (own !== null) {
+      const { number, fencingToken, sinceMs } = own
+      return { vm, incarnation, number, fencingToken, ageMs: waitClock.readNow() - sinceMs, writtenAtMs: Date.now() }
+    }
     if (recorded === null || this.measureDelayMs(service, recorded) === 0) return null
     return { ...recorded, ageMs: this.#measureAgeMs(service, recorded), writtenAtMs: Date.now() }
   }
 
   /** Measures how long this VM must not call because of a call that it has not made itself, in milliseconds. */
   measureDelayMs (service: string, recorded: PendingCall | null): number {
-    if (recorded === null || this.#isOwn(service, recorded)) return 0
+    if (recorded === null || this.#isOwn(service, recorded) || this.#isOfEarlierStart(recorded)) return 0
     const isLongAgo = Date.now() - recorded.writtenAtMs + recorded.ageMs >= CALL_ARRIVAL_MS + MAX_WALL_DIFFERENCE_MS
     return isLongAgo ? 0 : Math.max(0, CALL_ARRIVAL_MS - this.#measureAgeMs(service, recorded))
   }
@@ -112,13 +124,18 @@
     return isOfThisStart && (own === undefined || own.number >= number)
   }
 
-  #findOwn (service: string): { number: number, sinceMs: number } | null {
+  /** Whether a call is of an earlier start of this VM, and its token is known, so that this VM can repeat it. */
+  #isOfEarlierStart (recorded: PendingCall): recorded is PendingCall & { fencingToken: number } {
+    return recorded.vm === this.#options.vm && recorded.incarnation < this.#options.incarnation && typeof recorded.fencingToken === 'number'
+  }
+
+  #findOwn (service: string): { number: number, sinceMs: number, fencingToken: number | null } | null {
     const own = this.#own.get(service)
     if (own === undefined) return null
     const sinceMs = Math.max(own.recordedAtMs ?? -Infinity, own.unansweredSinceMs ?? -Infinity)
     const mayArrive = own.recordedAtMs !== null || this.#options.waitClock.readNow() - sinceMs < CALL_ARRIVAL_MS
     if (!mayArrive) this.#own.delete(service)
-    return mayArrive ? { number: own.number, sinceMs } : null
+    return mayArrive ? { number: own.number, sinceMs, fencingToken: own.fencingToken } : null
   }
 
   /** Measures the least age of a recorded call: what its record tells, and the time since this VM saw it first. */
