--- a/packages/gateway/src/failover/call-order.test.ts
+++ b/packages/gateway/src/failover/call-order.test.ts
@@ -125,4 +125,24 @@
     expect(['a', 'b'].map(e => fleet.group.find(e).role)).to.include('primary')
     expect(fleet.brokenOrders).to.deep.equal([])
   })
+
+  // Guards against an attempt that ends, and leaves the group fenced for seconds, because it finds the primary that its order replaces.
+  it('are repeated in the same attempt although the VM has started again without knowing the primary and finds it only then', async () => {
+    const [vm1] = await startVms('vm1', 'vm2') as [SimulatedVm]
+    fleet.platform!.drawFate = () => ({ toPlatformMs: 2, effectMs: 400, answerMs: 2 })
+    vm1.losesOrders = true
+    vm1.promote('primary lost').catch(() => {}) // Its VM ends.
+    await waitForCall(vm1)
+    vm1.kill()
+    await fleet.advance(1_000)
+    const restarted = fleet.startVm('vm1')
+    for (const { entry } of fleet.group.endpoints.values()) restarted.group.updateEntry({ ...entry, role: 'replica' })
+    restarted.connector.unreachable.add('p')
+    const pendingPromotion = restarted.promote('no primary')
+    await fleet.advance(600)
+    restarted.connector.unreachable.delete('p')
+    await fleet.advance(CALL_ARRIVAL_MS)
+    expect(await pendingPromotion).to.be.oneOf(['a', 'b'])
+    expect(fleet.brokenOrders).to.deep.equal([])
+  })
 })
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -48,7 +48,7 @@
     host.logger.info('promotion skipped, another VM holds the failover claim', { service: group.service, reason })
     return null
   }
-  const attempt = createAttempt(host, group, reason, claim)
+  let attempt = createAttempt(host, group, reason, claim)
   if (Date.now() < claim.resumedUntilMs) {
     await resumeAgain(attempt)
     return null
@@ -61,17 +61,35 @@
   }
   const { oldPrimary, term, openOrder } = attempt
   host.logger.warn('promotion started', { service: group.service, reason, oldPrimary: oldPrimary?.endpoint, term, fencingToken: claim.fencingToken, openOrder })
-  let promoted: string | null = null
-  try {
-    if (!await restoreLeadership(attempt)) promoted = await promoteCandidate(attempt)
-  } catch (error) {
-    host.logger.error('promotion attempt failed', { service: group.service, error: describeError(error) })
+  let promoted = await runAttempt(attempt)
+  if (promoted === null && hasFoundPrimary(attempt)) {
+    attempt = createAttempt(host, group, reason, { ...attempt.claim, order: attempt.openOrder, stray: attempt.stray })
+    host.logger.warn('promotion continued, the primary that its order replaces was found', { service: group.service, primary: attempt.knownPrimary, openOrder: attempt.openOrder })
+    promoted = await runAttempt(attempt)
   }
   if (promoted !== null) closeOrder(attempt, attempt.term, promoted)
   await finishAttempt(attempt, promoted)
   return promoted
 }
 
+async function runAttempt (attempt: Attempt): Promise<string | null> {
+  const { host, group } = attempt
+  try {
+    return await restoreLeadership(attempt) ? null : await promoteCandidate(attempt)
+  } catch (error) {
+    host.logger.error('promotion attempt failed', { service: group.service, error: describeError(error) })
+    return null
+  }
+}
+
+/**
+ * Whether an attempt that knew no primary has found one while an order to replace it is open. The order must be completed all the same: its
+ * endpoint may be promoted at any time, and the group stays fenced until then.
+ */
+function hasFoundPrimary ({ group, knownPrimary, openOrder, host, claim }: Attempt): boolean {
+  return openOrder !== null && knownPrimary === null && group.state.primary !== null && host.claims.isUsable(claim)
+}
+
 /** Whether another endpoint leads, or the same one at a later term, than when the promotion was required. */
 function hasPrimaryChanged ({ knownPrimary }: Attempt, primaryBefore: KnownPrimary | null): boolean {
   if (knownPrimary === null || primaryBefore === null) return knownPrimary !== primaryBefore
