--- a/packages/gateway/src/failover/call-order.test.ts
+++ b/packages/gateway/src/failover/call-order.test.ts
@@ -2,6 +2,7 @@
 import { SimulatedPlatform } from '../testing/simulated-platform.ts'
 import { SimulatedFleet, type SimulatedVm } from '../testing/simulated-vm.ts'
 import { CALL_ARRIVAL_MS } from './claim-times.ts'
+import { PROMOTION_EFFECT_TIMEOUT_MS } from './order-decisions.ts'
 
 const STEP_MS = 20
 /** Longest time for which a call stays unread here. */
@@ -145,4 +146,22 @@
     expect(await pendingPromotion).to.be.oneOf(['a', 'b'])
     expect(fleet.brokenOrders).to.deep.equal([])
   })
+
+  // Guards against a second wait for the effect of a call that was made long before the VM started again.
+  it('are repeated at once by the VM that has started again after the time in which they take effect', async () => {
+    const [vm1] = await startVms('vm1', 'vm2') as [SimulatedVm]
+    fleet.platform!.drawFate = () => ({ toPlatformMs: 2, effectMs: 400, answerMs: 2 })
+    vm1.losesOrders = true
+    vm1.promote('primary lost').catch(() => {}) // Its VM ends.
+    await waitForCall(vm1)
+    vm1.kill()
+    await fleet.advance(PROMOTION_EFFECT_TIMEOUT_MS)
+    const restarted = fleet.startVm('vm1')
+    restarted.addEndpoints()
+    restarted.connector.unreachable.add('p')
+    restarted.promote('primary lost').catch(() => {}) // Only its call counts here.
+    await fleet.advance(PROMOTION_EFFECT_TIMEOUT_MS)
+    expect(restarted.orders).to.have.length(1)
+    expect(fleet.brokenOrders).to.deep.equal([])
+  })
 })
--- a/packages/gateway/src/failover/order-decisions.ts
+++ b/packages/gateway/src/failover/order-decisions.ts
@@ -9,6 +9,8 @@
  * that loses its log after its response needs longer to run again, so that it starts after the call, which then has no effect.
  */
 export const MAX_LOOK_AGE_MS = 100
+/** An order that has not taken effect after this long is sent again, unless it was accepted. */
+export const PROMOTION_EFFECT_TIMEOUT_MS = 3_500
 /** An accepted order that has not taken effect after this time is sent again: its endpoint was down when it would have. */
 const ACCEPTED_ORDER_TIMEOUT_MS = 21_000
 /**
@@ -66,7 +68,8 @@
 /** Whether the platform is to be called for an order: it has not been, or the effect of the latest call is overdue. `nowMs` is the wall clock's time. */
 export function isCallDue (order: Pick<OpenOrder, 'isAccepted' | 'waits' | 'calledAtMs'> | null, nowMs: number): boolean {
   if (order === null) return true
-  return order.isAccepted ? nowMs - order.calledAtMs >= ACCEPTED_ORDER_TIMEOUT_MS : order.waits > 0
+  const sinceCallMs = nowMs - order.calledAtMs
+  return order.isAccepted ? sinceCallMs >= ACCEPTED_ORDER_TIMEOUT_MS : order.waits > 0 || sinceCallMs >= PROMOTION_EFFECT_TIMEOUT_MS
 }
 
 /**
--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -7,14 +7,12 @@
 import { ensureLatestPrimary, ensureNotReplaced } from './check-leadership.ts'
 import type { OpenOrder } from './duty-claim.ts'
 import { pauseReplica } from './fence-group.ts'
-import { canOrder, isCallDue, isFenceIntact, isLookRecent, isSameOrder } from './order-decisions.ts'
+import { canOrder, isCallDue, isFenceIntact, isLookRecent, isSameOrder, PROMOTION_EFFECT_TIMEOUT_MS } from './order-decisions.ts'
 import { REVOKE_TIMEOUT_MS, runOnAll, type Attempt, type EndpointResult } from './promotion-attempt.ts'
 import { updateClaim } from './promotion-claim.ts'
 
 const STATUS_INTERVAL_MS = 100
 const PROMOTE_TIMEOUT_MS = 700
-/** An order that has not taken effect after this long is sent again, unless it was accepted. */
-const PROMOTION_EFFECT_TIMEOUT_MS = 3_500
 /** Number of times that an attempt looks at the ordered endpoint again because the response came late. */
 const MAX_LOOKS = 5
 /** Number of times that an attempt waits for the effect of its order; another VM may reach the promoter better. */
