--- a/packages/gateway/src/failover/call-order.test.ts
+++ b/packages/gateway/src/failover/call-order.test.ts
@@ -8,6 +8,8 @@
 /** Longest time for which a call stays unread here. */
 const UNREAD_MS = 9_000
 const READ_INTERVAL_MS = 10
+/** Time after which a VM gives up a call. */
+const PROMOTE_TIMEOUT_MS = 700
 
 describe('calls of the platform', () => {
   let fleet: SimulatedFleet
@@ -164,4 +166,24 @@
     expect(restarted.orders).to.have.length(1)
     expect(fleet.brokenOrders).to.deep.equal([])
   })
+
+  // Guards against a second wait for the effect of a call that was not made, because its endpoint did not respond for a moment.
+  it('are made soon after their endpoint has not responded for a moment when they were due', async () => {
+    const [vm1] = await startVms('vm1', 'vm2') as [SimulatedVm]
+    fleet.platform!.drawFate = () => ({ toPlatformMs: 2, effectMs: 400, answerMs: 2 })
+    vm1.losesOrders = true
+    vm1.promote('primary lost').catch(() => {}) // Only its calls count here.
+    await waitForCall(vm1)
+    vm1.losesOrders = false
+    await fleet.advance(PROMOTION_EFFECT_TIMEOUT_MS)
+    const { endpoint } = vm1.orders[0]!
+    vm1.connector.unreachable.add(endpoint)
+    await fleet.advance(PROMOTE_TIMEOUT_MS + 1_000)
+    expect(vm1.orders).to.have.length(1)
+    vm1.connector.unreachable.delete(endpoint)
+    await fleet.advance(PROMOTION_EFFECT_TIMEOUT_MS / 2)
+    expect(vm1.orders).to.have.length(2)
+    expect(fleet.group.find(endpoint).role).to.equal('primary')
+    expect(fleet.brokenOrders).to.deep.equal([])
+  })
 })
--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -15,6 +15,10 @@
 const PROMOTE_TIMEOUT_MS = 700
 /** Number of times that an attempt looks at the ordered endpoint again because the response came late. */
 const MAX_LOOKS = 5
+/** Time until an attempt tries again to send an order, because an endpoint did not respond before the call, for example. */
+const UNSENT_RETRY_MS = 300
+/** Number of times that an attempt does so. */
+const MAX_UNSENT_RETRIES = 5
 /** Number of times that an attempt waits for the effect of its order; another VM may reach the promoter better. */
 const MAX_EFFECT_WAITS = 2
 
@@ -33,14 +37,12 @@
   }
   const openOrder = { endpoint, startedAtMs: entry.startedAtMs, replacedTerm: attempt.replacedTerm, received, isProven: true, isAccepted: false, waits: 0, calls: 0, calledAtMs: 0 }
   const readOrder = (): OpenOrder | null => isSameOrder(attempt.openOrder, openOrder) ? attempt.openOrder : null
-  for (let waits = 0; waits < MAX_EFFECT_WAITS;) {
-    const isDue = isCallDue(readOrder(), Date.now())
-    const callDelayMs = isDue ? measureCallDelay(attempt) : 0
-    if (isDue && callDelayMs === 0) await sendOrder(attempt, entry, readOrder() ?? openOrder, fenced)
+  const ended = { effect: 0, retry: 0, earlierCall: 0 }
+  while (ended.effect < MAX_EFFECT_WAITS && ended.retry <= MAX_UNSENT_RETRIES) {
+    const wait = await sendIfDue(attempt, entry, readOrder() ?? openOrder, fenced)
     if (readOrder() === null) return null
-    const effectWaitMs = callDelayMs > 0 ? Math.min(callDelayMs, PROMOTION_EFFECT_TIMEOUT_MS) : PROMOTION_EFFECT_TIMEOUT_MS
-    if (await waitForEffect(attempt, entry, effectWaitMs)) return endpoint
-    if (callDelayMs === 0) waits++
+    if (await waitForEffect(attempt, entry, wait.ms)) return endpoint
+    ended[wait.until]++
     if (attempt.openOrder !== null) attempt.openOrder = { ...attempt.openOrder, waits: attempt.openOrder.waits + 1 }
     const { latestPrimary } = await host.revoke(group, attempt.replacedTerm + 1, false, REVOKE_TIMEOUT_MS)
     ensureLatestPrimary(attempt, latestPrimary, fenced)
@@ -48,6 +50,17 @@
   return null
 }
 
+/** What an attempt waits for next, and for how long at most: the effect of its call, another try to call, or the end of an earlier call. */
+interface OrderWait { until: 'effect' | 'retry' | 'earlierCall', ms: number }
+
+async function sendIfDue (attempt: Attempt, entry: EndpointEntry, order: OpenOrder, fenced: readonly FencedEndpoint[]): Promise<OrderWait> {
+  if (!isCallDue(order, Date.now())) return { until: 'effect', ms: PROMOTION_EFFECT_TIMEOUT_MS }
+  const callDelayMs = measureCallDelay(attempt)
+  if (callDelayMs > 0) return { until: 'earlierCall', ms: Math.min(callDelayMs, PROMOTION_EFFECT_TIMEOUT_MS) }
+  const result = await sendOrder(attempt, entry, order, fenced)
+  return result === 'busy' ? { until: 'retry', ms: UNSENT_RETRY_MS } : { until: 'effect', ms: PROMOTION_EFFECT_TIMEOUT_MS }
+}
+
 /** Measures how long the platform may not be called, as a call of another VM, with a lower token, may still arrive after this one. */
 function measureCallDelay ({ host, group, claim, openOrder }: Attempt): number {
   const callDelayMs = Math.ceil(host.claims.measureCallDelayMs(claim))
@@ -56,15 +69,19 @@
   return callDelayMs
 }
 
-/** Records the order with one more call and sends it, if that is still safe. Sets the attempt's open order if the call may be executed. */
-async function sendOrder (attempt: Attempt, entry: EndpointEntry, known: OpenOrder, fenced: readonly FencedEndpoint[]): Promise<void> {
+/**
+ * Records the order with one more call and sends it, if that is still safe. Sets the attempt's open order if the call may be executed.
+ *
+ * @returns `busy` also if it was not sent
+ */
+async function sendOrder (attempt: Attempt, entry: EndpointEntry, known: OpenOrder, fenced: readonly FencedEndpoint[]): Promise<PromotionResult> {
   const { host, group } = attempt
   const openOrder = { ...known, isAccepted: false, waits: 0, calls: known.calls + 1, calledAtMs: Date.now() }
   let result: PromotionResult = 'busy'
   try {
     if (!await recordOrder(attempt, openOrder)) {
       host.logger.warn('promotion cancelled, the failover claim has expired', { service: group.service, openOrder: attempt.openOrder })
-      return
+      return result
     }
     if (await isSafe(attempt, entry, openOrder, fenced)) result = await sendCall(attempt, entry, openOrder)
   } finally {
@@ -73,6 +90,7 @@
   // A call without an answer may still be executed although a later one was refused.
   if (result === 'accepted' || result === 'unknown') attempt.openOrder = { ...openOrder, isAccepted: result === 'accepted' }
   if (result === 'accepted') await recordAcceptance(attempt)
+  return result
 }
 
 /** Checks the group again right before the call. @returns whether the order may still be sent */
