--- a/packages/gateway/src/failover/call-order.test.ts
+++ b/packages/gateway/src/failover/call-order.test.ts
@@ -109,7 +109,7 @@
   })
 
   // Guards against a service without a primary for as long as the call of a VM may arrive that was killed and is back.
-  it('are repeated with the same token by the VM that has started again, which does not wait until the first one can not arrive', async () => {
+  it('are repeated with the same token by the VM that has started again, without a wait for the first one', async () => {
     const [vm1] = await startVms('vm1', 'vm2') as [SimulatedVm]
     fleet.platform!.drawFate = () => {
       calls++
--- a/packages/gateway/src/failover/duty-claim.test.ts
+++ b/packages/gateway/src/failover/duty-claim.test.ts
@@ -141,10 +141,13 @@
     const clock = new VirtualClock()
     const state = new MemoryStoreState()
     const a = createClaims(new MemoryStore(state), clock, 'a')
-    const order = { endpoint: 'p', startedAtMs: 1, replacedTerm: 1, received: { term: 1, index: 1 }, isProven: true, isAccepted: false, waits: 0, calls: 1, calledAtMs: 0 }
+    const progress = { isProven: true, isAccepted: false, waits: 0, calls: 1, calledAtMs: 0 }
+    const order = { endpoint: 'p', startedAtMs: 1, replacedTerm: 1, received: { term: 1, index: 1 }, ...progress }
     const recorded = (await a.recordOrder((await a.claim('orders'))!, order))!
     const token = a.beginCall(recorded)
-    const restart = (incarnation: number): DutyClaims => new DutyClaims({ store: new MemoryStore(state), clock, logger, vm: 'a', incarnation })
+    const restart = (incarnation: number): DutyClaims => {
+      return new DutyClaims({ store: new MemoryStore(state), clock, logger, vm: 'a', incarnation })
+    }
     const [restarted, copy] = [restart(2), state.createCopy()]
     const claim = (await restarted.claim('orders'))!
     expect(restarted.measureCallDelayMs(claim)).to.equal(0)
--- a/packages/gateway/src/failover/duty-claim.ts
+++ b/packages/gateway/src/failover/duty-claim.ts
@@ -334,10 +334,13 @@
     const { order, formerPrimary, stray, resumedUntilMs, pendingCall } = claim.data
     const hasUnreadableOrder = order === null && (current.value as { order?: unknown }).order != null
     if (hasUnreadableOrder) this.#options.logger.warn('promotion order recorded in the failover claim is not readable, it is not waited for', { name: current.name })
-    if (this.#isOfCurrentEpoch(current)) return { order, formerPrimary, stray, resumedUntilMs, pendingCall: readToken(pendingCall, current.revision) }
+    if (this.#isOfCurrentEpoch(current)) {
+      return { order, formerPrimary, stray, resumedUntilMs, pendingCall: readToken(pendingCall, current.revision) }
+    }
     // Later claims may be lost, so the token of the call may not be the latest one.
+    const unprovenOrder = order === null ? null : { ...order, isProven: false }
     const callOfUnknownToken = pendingCall === null ? null : { ...pendingCall, fencingToken: undefined }
-    return { order: order === null ? null : { ...order, isProven: false }, formerPrimary: null, stray, resumedUntilMs, pendingCall: callOfUnknownToken }
+    return { order: unprovenOrder, formerPrimary: null, stray, resumedUntilMs, pendingCall: callOfUnknownToken }
   }
 
   /** Whether the object was written in the store's epoch, by a VM that knew the epoch. */
--- a/packages/gateway/src/failover/order-promotion.ts
+++ b/packages/gateway/src/failover/order-promotion.ts
@@ -74,7 +74,12 @@
  *
  * @returns `busy` also if it was not sent
  */
-async function sendOrder (attempt: Attempt, entry: EndpointEntry, known: OpenOrder, fenced: readonly FencedEndpoint[]): Promise<PromotionResult> {
+async function sendOrder (
+  attempt: Attempt,
+  entry: EndpointEntry,
+  known: OpenOrder,
+  fenced: readonly FencedEndpoint[]
+): Promise<PromotionResult> {
   const { host, group } = attempt
   const openOrder = { ...known, isAccepted: false, waits: 0, calls: known.calls + 1, calledAtMs: Date.now() }
   let result: PromotionResult = 'busy'
--- a/packages/gateway/src/failover/pending-calls.test.ts
+++ b/packages/gateway/src/failover/pending-calls.test.ts
@@ -42,7 +42,7 @@
     expect(restarted.begin('s', 14)).to.equal(14)
   })
 
-  // Guards against a call with another token before that of an earlier start, if its record does not tell the token, or this start is not the later one.
+  // Guards against a call with another token before that of an earlier start, whose record does not tell its token.
   it('are waited for by a later start of the same VM that does not know their token, and by an earlier one', () => {
     const recorded = callInVain(createCalls('a', 2))
     for (const fencingToken of [undefined, null]) {
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -64,7 +64,8 @@
   let promoted = await runAttempt(attempt)
   if (promoted === null && hasFoundPrimary(attempt)) {
     attempt = createAttempt(host, group, reason, { ...attempt.claim, order: attempt.openOrder, stray: attempt.stray })
-    host.logger.warn('promotion continued, the primary that its order replaces was found', { service: group.service, primary: attempt.knownPrimary, openOrder: attempt.openOrder })
+    const inputs = { service: group.service, primary: attempt.knownPrimary, openOrder: attempt.openOrder }
+    host.logger.warn('promotion continued, the primary that its order replaces was found', inputs)
     promoted = await runAttempt(attempt)
   }
   if (promoted !== null) closeOrder(attempt, attempt.term, promoted)
