--- a/packages/gateway/src/failover/call-order.test.ts
+++ b/packages/gateway/src/failover/call-order.test.ts
@@ -108,21 +108,27 @@
     expect(fleet.brokenOrders).to.deep.equal([])
   })
 
-  // Guards against a service without a primary for as long as the call of a VM may arrive that was killed and is back.
-  it('are repeated with the same token by the VM that has started again, without a wait for the first one', async () => {
-    const [vm1] = await startVms('vm1', 'vm2') as [SimulatedVm]
+  /** Has a VM's call get lost, kills the VM and starts it again after a time, without reaching `p`. @returns the VM that was started */
+  async function restartDuringLostCall (vm: SimulatedVm, afterMs: number): Promise<SimulatedVm> {
     fleet.platform!.drawFate = () => {
       calls++
       return { toPlatformMs: 2, effectMs: 400, answerMs: 2 }
     }
-    vm1.losesOrders = true
-    vm1.promote('primary lost').catch(() => {}) // Its VM ends.
-    await waitForCall(vm1)
-    vm1.kill()
-    await fleet.advance(1_000)
-    const restarted = fleet.startVm('vm1')
-    restarted.addEndpoints()
+    vm.losesOrders = true
+    vm.promote('primary lost').catch(() => {}) // Its VM ends.
+    await waitForCall(vm)
+    vm.kill()
+    await fleet.advance(afterMs)
+    const restarted = fleet.startVm(vm.name)
     restarted.connector.unreachable.add('p')
+    return restarted
+  }
+
+  // Guards against a service without a primary for as long as the call of a VM may arrive that was killed and is back.
+  it('are repeated with the same token by the VM that has started again, without a wait for the first one', async () => {
+    const [vm1] = await startVms('vm1', 'vm2') as [SimulatedVm]
+    const restarted = await restartDuringLostCall(vm1, 1_000)
+    restarted.addEndpoints()
     await promoteFor(CALL_ARRIVAL_MS / 2, restarted)
     expect(restarted.orders.map(o => o.fencingToken)).to.deep.equal([vm1.orders[0]!.fencingToken])
     expect(['a', 'b'].map(e => fleet.group.find(e).role)).to.include('primary')
@@ -132,15 +138,8 @@
   // Guards against an attempt that ends, and leaves the group fenced for seconds, because it finds the primary that its order replaces.
   it('are repeated in the same attempt although the VM has started again without knowing the primary and finds it only then', async () => {
     const [vm1] = await startVms('vm1', 'vm2') as [SimulatedVm]
-    fleet.platform!.drawFate = () => ({ toPlatformMs: 2, effectMs: 400, answerMs: 2 })
-    vm1.losesOrders = true
-    vm1.promote('primary lost').catch(() => {}) // Its VM ends.
-    await waitForCall(vm1)
-    vm1.kill()
-    await fleet.advance(1_000)
-    const restarted = fleet.startVm('vm1')
+    const restarted = await restartDuringLostCall(vm1, 1_000)
     for (const { entry } of fleet.group.endpoints.values()) restarted.group.updateEntry({ ...entry, role: 'replica' })
-    restarted.connector.unreachable.add('p')
     const pendingPromotion = restarted.promote('no primary')
     await fleet.advance(600)
     restarted.connector.unreachable.delete('p')
@@ -152,15 +151,8 @@
   // Guards against a second wait for the effect of a call that was made long before the VM started again.
   it('are repeated at once by the VM that has started again after the time in which they take effect', async () => {
     const [vm1] = await startVms('vm1', 'vm2') as [SimulatedVm]
-    fleet.platform!.drawFate = () => ({ toPlatformMs: 2, effectMs: 400, answerMs: 2 })
-    vm1.losesOrders = true
-    vm1.promote('primary lost').catch(() => {}) // Its VM ends.
-    await waitForCall(vm1)
-    vm1.kill()
-    await fleet.advance(PROMOTION_EFFECT_TIMEOUT_MS)
-    const restarted = fleet.startVm('vm1')
+    const restarted = await restartDuringLostCall(vm1, PROMOTION_EFFECT_TIMEOUT_MS)
     restarted.addEndpoints()
-    restarted.connector.unreachable.add('p')
     restarted.promote('primary lost').catch(() => {}) // Only its call counts here.
     await fleet.advance(PROMOTION_EFFECT_TIMEOUT_MS)
     expect(restarted.orders).to.have.length(1)
