--- a/packages/gateway/src/failover/pending-calls.test.ts
+++ b/packages/gateway/src/failover/pending-calls.test.ts
@@ -36,7 +36,9 @@
     restarted.plan('s')
     expect(restarted.begin('s', 12)).to.equal(10)
     restarted.end('s', true)
-    expect(createCalls('a', 3).measureDelayMs('s', restarted.describe('s', null))).to.equal(0)
+    const repeated = restarted.describe('s', null)!
+    expect(repeated.fencingToken).to.equal(10)
+    expect(createCalls('a', 3).measureDelayMs('s', repeated)).to.equal(0)
     clock.nowMs += CALL_ARRIVAL_MS
     restarted.plan('s')
     expect(restarted.begin('s', 14)).to.equal(14)
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -57,8 +57,8 @@
   #isAnswered = false
   #endCause: SessionEndCause | null = null
   #isEndRecorded = false
-  /** Number and first ids of the statements that arrived after the session was closed. */
   readonly #attempts = new SessionAttempts()
+  /** Number and first ids of the statements that arrived after the session was closed. */
   #droppedCount = 0
   readonly #droppedIds: string[] = []
   /** Why the open transaction is to be rolled back after its running statement. */
