--- a/review/8/play.js
+++ b/review/8/play.js
@@ -6,7 +6,7 @@
 import { fileURLToPath } from 'node:url'
 import { Client, KEY, runCase, waitFor } from '../standins-2/deployment.js'
 
-/** Peers, and values that each of them sets, each under a name of its own: 5 MB in all. */
+/** Peers, and values that each of them sets, each under a name of its own: 5.9 MB in all. */
 const PEERS = 8
 const VALUES = 30_000
 const SETTLE_MS = 1_000
