--- a/review/standins-2/deployment.js
+++ b/review/standins-2/deployment.js
@@ -61,12 +61,12 @@
   }
 }
 
-function createManifest () {
+function createManifest (otherServices) {
   const route = ([name, type]) => ({ name: `r-${name}`, host: name, 'path-prefix': '/', 'route-type': type, 'timeout-ms': 1_000, 'target-latency-ms': 800, priority: 1, service: SERVICE, 'max-attempts': 2, 'max-staleness-ms': type === 'primary' ? 0 : 2_500, public: false })
   return {
     version: 7,
     routes: Object.entries(DATABASES).map(route),
-    services: [{ name: SERVICE, 'health-path': '/healthz', 'max-conns': 21, protocol: 'own', tls: false, 'sync-replicas': 1 }],
+    services: [SERVICE, ...otherServices].map(name => ({ name, 'health-path': '/healthz', 'max-conns': 21, protocol: 'own', tls: false, 'sync-replicas': 1 })),
     tenants: [{ name: 'lab', 'api-keys': [KEY], 'rate-per-s': 5_000, burst: 5_000 }],
     limits: { 'tx-idle-ms': 3_000 }
   }
@@ -75,8 +75,8 @@
 export class Deployment {
   vms = []
 
-  constructor (record, { vmZones = Object.keys(ZONES), instance = {}, promoteMs = 1_000 } = {}) {
-    Object.assign(this, { record, vmZones, instanceOptions: instance, promoteMs })
+  constructor (record, { vmZones = Object.keys(ZONES), instance = {}, promoteMs = 1_000, otherServices = [] } = {}) {
+    Object.assign(this, { record, vmZones, instanceOptions: instance, promoteMs, otherServices })
     this.directory = mkdtempSync(join(tmpdir(), 'camphorpitch-case-'))
   }
 
@@ -89,7 +89,7 @@
       await instance.start()
       this.register(instance)
     }
-    this.store.replaceObject('config', 'main', createManifest())
+    this.store.replaceObject('config', 'main', createManifest(this.otherServices))
     await this.#startPlatform()
     for (const [index, zone] of this.vmZones.entries()) await this.#prepareVm(`vm-${index + 1}`, zone)
     // The last VM opens its links to the others itself, through paths that can be cut.
