--- a/review/standins-3/deployment.ts
+++ b/review/standins-3/deployment.ts
@@ -12,7 +12,9 @@
 /** One failure domain in each region, as the small deployments have them. */
 export const REGIONS: Record<string, string> = { 'zone-1': 'region-1', 'zone-2': 'region-2', 'zone-3': 'region-3' }
 const DOMAINS = Object.keys(REGIONS)
-const START_INTERVAL_MS = 2_500
+const START_INTERVAL_MS = 500
+/** Three ping intervals of the small deployments (`heartbeat-ms` 1,200). */
+const ENTRY_EXPIRY_MS = 3_600
 /**
  * A VM introduces itself to the others with its own address in its first polls. They learn it from the store instead, with the address of their
  * links, as the links of a VM that starts to the others carry nothing for this long.
@@ -20,8 +22,8 @@
 const INTRODUCTION_MS = 9_000
 
 export interface DeploymentOptions {
-  /** Number of VMs, each in a region of its own in turn. */
-  vms: number
+  /** Failure domain of each VM, by its name. */
+  vms: Record<string, string>
   /** Time from a promotion order to its effect, in milliseconds. */
   promoteMs: number
   tenant: { rate: number, burst: number }
@@ -44,11 +46,12 @@
   readonly vms: DeployedVm[] = []
   /** Address of each instance, by id. */
   readonly addresses = new Map<string, string>()
+  readonly #zones = new Map<string, string>()
   readonly #options: DeploymentOptions
   readonly #promoter: PromoterStandin
   #directory = ''
-  /** The failure domain that is separated from the others; `null` if none is. */
-  #separated: string | null = null
+  /** Pairs of failure domains that are separated. */
+  #separated: Array<[string, string]> = []
 
   /** @param group its three instances, the first one of which is the primary */
   constructor (group: G, options: DeploymentOptions) {
@@ -64,15 +67,13 @@
     const promoter = await this.#promoter.start()
     for (const [i, domain] of DOMAINS.entries()) await this.#registerInstance(this.group.instances[i]!, domain)
     this.store.replaceObject('config', 'main', this.#createManifest())
-    for (let i = 0; i < vms; i++) {
-      if (i > 0) await waitFor(START_INTERVAL_MS)
-      const name = `edge-${i + 1}`
-      const domain = DOMAINS[i % DOMAINS.length]!
+    for (const [name, domain] of Object.entries(vms)) {
       const startedAtMs = performance.now()
       const links = new VmLinks(name, target => this.#isCut(domain, startedAtMs, target))
-      const store = await this.store.openView(links.view)
+      const store = await links.openStore(await this.store.openView(links.view))
       const gateway = await startGateway({ vm: name, failureDomain: domain, region: REGIONS[domain]!, regions: REGIONS, store, promoter, directory: this.#directory })
       this.vms.push({ name, domain, links, startedAtMs, gateway })
+      await waitFor(START_INTERVAL_MS)
     }
     await waitFor(INTRODUCTION_MS)
     for (const { links } of this.vms) await links.resetBroken()
@@ -87,26 +88,44 @@
     if (process.env.KEEP === undefined) await rm(this.#directory, { recursive: true, force: true })
   }
 
-  /** Separates a failure domain, which is a region here, from the others: VMs and instances. Each VM reaches the platform all the while. */
-  separate (domain: string): void {
-    this.#separated = domain
+  /** Separates failure domains, which are regions here, from each other: VMs and instances. Each VM reaches the platform all the while. */
+  separate (...pairs: Array<[string, string]>): void {
+    this.#separated = pairs
   }
 
   async endSeparation (): Promise<void> {
-    this.#separated = null
+    this.#separated = []
     for (const { links } of this.vms) await links.resetBroken()
   }
 
+  /**
+   * Separates two failure domains, the second of which has the platform's store, by refusing connections between them. The entries of the
+   * first one's instances expire after three ping intervals.
+   */
+  async refuseBetween (domain: string, storeDomain: string): Promise<void> {
+    for (const vm of this.vms) {
+      if (vm.domain === domain) await vm.links.refuse(target => target.kind === 'store' || this.#findDomain(target) === storeDomain)
+      if (vm.domain === storeDomain) await vm.links.refuse(target => target.kind !== 'store' && this.#findDomain(target) === domain)
+    }
+    await waitFor(ENTRY_EXPIRY_MS)
+    for (const { options: { id } } of this.group.instances) if (this.#zones.get(id) === domain) this.store.removeObject('servers', id)
+  }
+
+  #findDomain ({ kind, name }: LinkTarget): unknown {
+    return kind === 'vm' ? this.vms.find(vm => vm.name === name)?.domain : this.#findInstanceDomain(name)
+  }
+
   #isCut (domain: string, startedAtMs: number, { kind, name }: LinkTarget): boolean {
     if (kind === 'vm' && performance.now() - startedAtMs < INTRODUCTION_MS) return true
-    if (this.#separated === null) return false
-    const targetDomain = kind === 'vm' ? this.vms.find(vm => vm.name === name)?.domain : this.#findInstanceDomain(name)
-    return (domain === this.#separated) !== (targetDomain === this.#separated)
+    if (this.#separated.length === 0) return false
+    if (kind === 'store') return false
+    const targetDomain = this.#findDomain({ kind, name, address: name })
+    return this.#separated.some(([a, b]) => (domain === a && targetDomain === b) || (domain === b && targetDomain === a))
   }
 
   #findInstanceDomain (address: string): unknown {
     const id = [...this.addresses].find(([, a]) => a === address)?.[0]
-    return id === undefined ? undefined : this.#readEntry(id).zone
+    return id === undefined ? undefined : this.#zones.get(id)
   }
 
   /** Has an instance report that it is to be shut down. */
@@ -122,13 +141,14 @@
     const { id } = instance.options
     const address = await instance.start()
     this.addresses.set(id, address)
+    this.#zones.set(id, zone)
     this.store.replaceObject('servers', id, { service: SERVICE, address, zone, capacity: 3, state: 'ready', 'warmup-left-ms': 0, version: '1', 'db-role': instance.role, born: Date.now() - 3_600_000 })
   }
 
   #updateRoles (): void {
     for (const { options: { id }, role } of this.group.instances) {
-      const entry = this.#readEntry(id)
-      if (entry['db-role'] !== role) this.store.replaceObject('servers', id, { ...entry, 'db-role': role })
+      const entry = this.store.readWrittenSpec('servers', id)
+      if (entry !== undefined && entry['db-role'] !== role) this.store.replaceObject('servers', id, { ...entry, 'db-role': role })
     }
   }
 
--- a/review/standins-3/links.ts
+++ b/review/standins-3/links.ts
@@ -4,7 +4,7 @@
 import { HOST } from './gateway-process.ts'
 
 /** What a VM connects to beside the platform. */
-export interface LinkTarget { kind: 'vm' | 'instance', name: string, address: string }
+export interface LinkTarget { kind: 'vm' | 'instance' | 'store', name: string, address: string }
 
 /** Forwards connections to an address. While it is cut, it keeps them open and discards their data; afterwards it resets them. */
 class Link {
@@ -28,6 +28,15 @@
     return (this.#server.address() as AddressInfo).port
   }
 
+  /** Resets all connections and refuses further ones, for as long as the link exists. */
+  refuse (): void {
+    this.#server.close()
+    for (const { client, server } of this.#pairs) {
+      client.resetAndDestroy()
+      server.resetAndDestroy()
+    }
+  }
+
   /** Resets the connections that have lost data. */
   resetBroken (): void {
     for (const { client, server, hasLost } of this.#pairs) {
@@ -88,6 +97,19 @@
     return { ...spec as object, port: await this.#open({ kind: 'vm', name: vm, address: `${HOST}:${port}` }) }
   }
 
+  /** Opens the link to the platform's store. @returns the address at which the VM reaches it */
+  async openStore (address: string): Promise<string> {
+    return `${HOST}:${await this.#open({ kind: 'store', name: 'store', address })}`
+  }
+
+  /** Refuses connections on some links from now on. */
+  async refuse (isRefused: (target: LinkTarget) => boolean): Promise<void> {
+    for (const pending of this.#links.values()) {
+      const link = await pending
+      if (isRefused(link.target)) link.refuse()
+    }
+  }
+
   async resetBroken (): Promise<void> {
     for (const link of this.#links.values()) (await link).resetBroken()
   }
