--- a/review/standins-3/gateway-process.ts
+++ b/review/standins-3/gateway-process.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events'
 import { createWriteStream } from 'node:fs'
 import { writeFile } from 'node:fs/promises'
-import { createServer, type AddressInfo } from 'node:net'
+import { createServer } from 'node:net'
 import { join } from 'node:path'
 
 export const HOST = '127.0.0.1'
@@ -11,6 +11,8 @@
 const SETTINGS_VARIABLE = 'CAMPHORPITCH_NODE_FILE'
 const READY_TIMEOUT_MS = 15_000
 const READY_INTERVAL_MS = 50
+const FIRST_PORT = 12_000
+const PORTS = 18_000
 
 export interface GatewayOptions {
   vm: string
@@ -38,18 +40,23 @@
 
 for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => process.exit(2))
 
-/** Finds ports that nothing uses. */
+/** Finds ports that nothing uses, below the range from which the kernel takes those of outgoing connections. */
 export async function findFreePorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer())
-  for (const s of servers) {
-    s.listen(0, HOST)
-    await once(s, 'listening')
+  const ports: number[] = []
+  while (ports.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS)
+    if (!ports.includes(port) && await isFree(port)) ports.push(port)
   }
-  const ports = servers.map(s => (s.address() as AddressInfo).port)
-  await Promise.all(servers.map(async s => await new Promise<void>(resolve => s.close(() => resolve()))))
   return ports
 }
 
+async function isFree (port: number): Promise<boolean> {
+  const server = createServer().listen(port, HOST)
+  const isListening = await once(server, 'listening').then(() => true, () => false)
+  if (isListening) await new Promise<void>(resolve => server.close(() => resolve()))
+  return isListening
+}
+
 /** Starts a gateway and waits until it is ready. */
 export async function startGateway (options: GatewayOptions): Promise<GatewayProcess> {
   const { vm, failureDomain, region, regions, store, promoter, directory } = options
