--- a/review/standins-3/deployment.ts
+++ b/review/standins-3/deployment.ts
@@ -36,7 +36,7 @@
 interface Group { instances: Instance[], promoteInstance: (id: string) => boolean }
 
 /** A VM, with its links to the other VMs and to the instances. */
-export interface DeployedVm { name: string, domain: string, links: VmLinks, startedAtMs: number, gateway: GatewayProcess }
+export interface DeployedVm { name: string, domain: string, links: VmLinks, startedAtMs: number, gateway: GatewayProcess, startAgain: () => Promise<GatewayProcess> }
 
 /** Gateways before one service of three instances, all on loopback. */
 export class Deployment<G extends Group> {
@@ -71,8 +71,9 @@
       const startedAtMs = performance.now()
       const links = new VmLinks(name, target => this.#isCut(domain, startedAtMs, target))
       const store = await links.openStore(await this.store.openView(links.view))
-      const gateway = await startGateway({ vm: name, failureDomain: domain, region: REGIONS[domain]!, regions: REGIONS, store, promoter, directory: this.#directory })
-      this.vms.push({ name, domain, links, startedAtMs, gateway })
+      const settings = { vm: name, failureDomain: domain, region: REGIONS[domain]!, regions: REGIONS, store, promoter, directory: this.#directory }
+      const startAgain = async (): Promise<GatewayProcess> => await startGateway({ ...settings, isFirstStart: false })
+      this.vms.push({ name, domain, links, startedAtMs, gateway: await startGateway(settings), startAgain })
       await waitFor(START_INTERVAL_MS)
     }
     await waitFor(INTRODUCTION_MS)
@@ -128,6 +129,11 @@
     return id === undefined ? undefined : this.#zones.get(id)
   }
 
+  /** Starts the process of a VM again, with the settings of its start but for `isFirstStart`. */
+  async restart (vm: DeployedVm): Promise<void> {
+    vm.gateway = await vm.startAgain()
+  }
+
   /** Has an instance report that it is to be shut down. */
   drainInstance (id: string): void {
     this.store.replaceObject('servers', id, { ...this.#readEntry(id), state: 'draining' })
--- a/review/standins-3/gateway-process.ts
+++ b/review/standins-3/gateway-process.ts
@@ -24,6 +24,8 @@
   promoter: string
   /** Folder for settings and logs. */
   directory: string
+  /** Whether the whole system starts for the first time; it does by default. */
+  isFirstStart?: boolean
 }
 
 /** A gateway process, started with the command of the deploy file and settings of a small deployment. */
@@ -59,7 +61,7 @@
 
 /** Starts a gateway and waits until it is ready. */
 export async function startGateway (options: GatewayOptions): Promise<GatewayProcess> {
-  const { vm, failureDomain, region, regions, store, promoter, directory } = options
+  const { vm, failureDomain, region, regions, store, promoter, directory, isFirstStart = true } = options
   const [port, readinessPort, peerPort, metricsPort] = await findFreePorts(4) as [number, number, number, number]
   const settingsFile = join(directory, `${vm}.json`)
   const logFile = join(directory, `${vm}.log`)
@@ -73,7 +75,7 @@
     readiness: `${HOST}:${readinessPort}`,
     internalPorts: [peerPort, peerPort],
     metricsPort,
-    isFirstStart: true,
+    isFirstStart,
     store,
     promoter,
     quota: { windowS: 5, overshoot: 0.1, slack: 20 },
--- a/review/standins-3/strict-instance.ts
+++ b/review/standins-3/strict-instance.ts
@@ -51,9 +51,12 @@
   }
 }
 
+/** `rowBytes` is the size of the row that a read returns; by default it holds the statement's text. */
+export interface StrictInstanceOptions { id: string, service: string, workMs: number, maxConnections: number, rowBytes?: number }
+
 /** An instance whose commits are numbered; a replica applies them at once. */
 export class StrictInstance {
-  readonly options: { id: string, service: string, workMs: number, maxConnections: number }
+  readonly options: StrictInstanceOptions
   readonly isDown = false
   role: 'primary' | 'replica' = 'replica'
   term = 1
@@ -65,7 +68,7 @@
   readonly #connections = new Set<Connection>()
   readonly #server = createServer({ noDelay: true }, socket => this.#accept(socket))
 
-  constructor (group: StrictGroup, options: { id: string, service: string, workMs: number, maxConnections: number }) {
+  constructor (group: StrictGroup, options: StrictInstanceOptions) {
     this.options = options
     this.#group = group
     group.instances.push(this)
@@ -202,7 +205,7 @@
     if (isWrite && this.role !== 'primary') return createError('READONLY', this.options.id)
     await new Promise(resolve => setTimeout(resolve, this.options.workMs))
     this.#group.run.push({ id, text, instance: this.options.id, tenant: connection.tenant, values: Object.fromEntries(connection.values), atMs: performance.now(), index: this.index })
-    if (!isWrite) return createCompletion(`proof.${this.options.id}.${id}`, `row of ${text}`)
+    if (!isWrite) return createCompletion(`proof.${this.options.id}.${id}`, `row of ${text}`.padEnd(this.options.rowBytes ?? 0, '.'))
     connection.writes++
     return connection.transaction === 'plain' ? createCompletion(`proof.${this.options.id}.${id}`) : await this.#commit(connection, id)
   }
