--- a/review/standins-3/strict-instance.ts
+++ b/review/standins-3/strict-instance.ts
@@ -78,6 +78,11 @@
     }
   }
 
+  /** Creates an instance of a group; the first one is its primary. */
+  static create (group: StrictGroup, options: StrictInstanceOptions): StrictInstance {
+    return new StrictInstance(group, options)
+  }
+
   async start (): Promise<string> {
     this.#server.listen(0, HOST)
     await once(this.#server, 'listening')
