--- a/review/standins-3/gateway-process.ts
+++ b/review/standins-3/gateway-process.ts
@@ -11,8 +11,9 @@
 const SETTINGS_VARIABLE = 'CAMPHORPITCH_NODE_FILE'
 const READY_TIMEOUT_MS = 15_000
 const READY_INTERVAL_MS = 50
-const FIRST_PORT = 12_000
-const PORTS = 18_000
+/** Between the ports of the project's tests and soak, which may run beside a script, and those of outgoing connections. */
+const FIRST_PORT = 30_600
+const PORTS = 2_000
 
 export interface GatewayOptions {
   vm: string
@@ -42,7 +43,7 @@
 
 for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => process.exit(2))
 
-/** Finds ports that nothing uses, below the range from which the kernel takes those of outgoing connections. */
+/** Finds ports that nothing uses. */
 export async function findFreePorts (count: number): Promise<number[]> {
   const ports: number[] = []
   while (ports.length < count) {
