Record session state as held once the endpoint has confirmed it

By the same path, not seen by callers: a refused DISCARD left one session's values and prepared statements to the next; a write ran with a prepared statement's former shape; an EXECUTE of a read ran another session's write of the same name; a commit was sent behind a refused SET.

Cause: PooledConnection recorded values and prepared statements as held when it sent SET, PARSE, CLOSE or DISCARD, and nobody looked at the responses. A connection whose endpoint had refused one went back into the pool with a record that the endpoint had never agreed to.

Change: only a confirmed command changes the record. The commands are still sent ahead of the statement without waiting, but - the pool closes a connection whose commands are unanswered or refused instead of reusing it; - a read's response behind a refused command is withheld, and the read goes to another endpoint; - a transaction ends with `aborted`, which is true: its commit was not sent, or it has written nothing; - what can't be taken back is sent after the confirmation: a single write, a commit that writes, and the EXECUTE of a read whose name stands for a write on the connection. If it was not sent, the client gets `busy` (`inDoubt` before, also where the lease had ended first).

--- a/packages/gateway/src/backend/errors.ts
+++ b/packages/gateway/src/backend/errors.ts
@@ -15,6 +15,9 @@
 /** A statement was given up because its endpoint no longer leads, or can't be shown to. It may have run. */
 export const LeadershipLostError = EndpointError.subclass('LeadershipLostError')
 
+/** A statement was given up before it was sent, so that it has certainly not run. Its connection must be closed. */
+export const StatementNotSentError = EndpointError.subclass('StatementNotSentError')
+
 /** The endpoint responded to the connection attempt with the error `code`. */
 export const EndpointRefusedError = EndpointError.subclass('EndpointRefusedError', {
   props: { code: 'failed' as ErrorCode }
--- a/packages/gateway/src/pool/endpoint-pool.ts
+++ b/packages/gateway/src/pool/endpoint-pool.ts
@@ -195,14 +195,14 @@
     return [...this.#pendingRequests.values()].map(pending => pending.request)
   }
 
-  /** Returns a connection to the pool. `isReusable` is `false` when its state is not known; it is closed then. */
+  /** Returns a connection to the pool. It is closed if `isReusable` is `false`, or its endpoint has not confirmed the session state that it was given. */
   release (connection: PooledConnection, isReusable: boolean): void {
     const slot = this.#slots.get(connection.id)
     if (slot === undefined) return
     const nowMs = this.#options.clock.readNow()
     slot.isHeld = false
     this.scheduler?.recordRelease(slot.workspace, slot.grantedAtMs, nowMs)
-    if (!isReusable || this.#isStopped || !connection.connection.isOpen) return this.#closeSlot(slot)
+    if (!isReusable || this.#isStopped || !connection.connection.isOpen || !connection.isStateConfirmed) return this.#closeSlot(slot)
     slot.state = 'idle'
     slot.session = connection.session
     slot.lastUsedAtMs = nowMs
--- a/packages/gateway/src/sessions/gateway-session-host.ts
+++ b/packages/gateway/src/sessions/gateway-session-host.ts
@@ -14,6 +14,7 @@
 import type { StatementForwarder } from '../serving/statement-forwarder.ts'
 import { createRetryRefusal, type Operation, type Outcome } from '../statements/operation.ts'
 import { openTransaction, type OpenedTransaction } from '../statements/pinned-transaction.ts'
+import { recordRestoreRefusal } from '../statements/record-restore-refusal.ts'
 import { recordRuledOut } from '../statements/record-ruled-out.ts'
 import { runRead } from '../statements/run-read.ts'
 import { runWrite } from '../statements/run-write.ts'
@@ -197,6 +198,7 @@
           outcome
         })
       },
+      recordRestoreRefusal: (operation, pool, refusal) => recordRestoreRefusal(operation, pool.entry.endpoint, refusal, clock.readNow(), logger, metrics),
       logNoResponse: (operation, pool, reason) => logger.warn('endpoint did not respond to statement', { id: operation.statement.id, type: operation.statement.type, endpoint: pool.entry.endpoint, reason, unansweredMs: pool.health.unansweredSinceMs === null ? 0 : Math.round(clock.readNow() - pool.health.unansweredSinceMs) })
     }
   }
--- a/packages/gateway/src/statements/leased-write.test.ts
+++ b/packages/gateway/src/statements/leased-write.test.ts
@@ -84,6 +84,7 @@
       rollbackTimeoutMs: 1_000,
       logResponse: () => {},
       recordUnleasedResponse: (_operation, _group, _pool, _response, outcome) => { unleased.push(outcome) },
+      recordRestoreRefusal: () => {},
       logNoResponse: () => {}
     }
   })
--- a/packages/gateway/src/statements/leased-write.ts
+++ b/packages/gateway/src/statements/leased-write.ts
@@ -1,10 +1,12 @@
+import { describeError } from '@camphorpitch/wire'
 import type { EndpointResponse } from '../backend/endpoint-connector.ts'
-import { LeadershipLostError } from '../backend/errors.ts'
+import { LeadershipLostError, StatementNotSentError } from '../backend/errors.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
 import type { PooledConnection } from '../pool/pooled-connection.ts'
 import { computeTimeLeftMs, computeWaitMs, type Operation } from './operation.ts'
 import type { StatementContext } from './statement-context.ts'
+import { WarmupLimitError } from '../warmup/warmup-limits.ts'
 
 /** A write may wait this long for the verification of the primary's leadership, even if its waiting time is shorter. */
 const MIN_VERIFICATION_WAIT_MS = 250
@@ -35,24 +37,32 @@
   return hasLease()
 }
 
+/** `canSend` tells whether the write may be sent, but for the lease. */
+export interface LeasedWriteOptions { pool: EndpointPool, connection: PooledConnection, canSend: () => boolean }
+
 /**
  * Runs a write outside of a transaction, or a commit, at the primary. Its success counts only while the primary's leadership is verified:
- * an endpoint that is being replaced may acknowledge commits that its successor lacks.
+ * an endpoint that is being replaced may acknowledge commits that its successor lacks. It is sent once the endpoint has confirmed the
+ * session state that the connection was given, as it can't be taken back.
  *
+ * @returns the endpoint's response; or its refusal of the session state (`PooledConnection.waitForRestore`), in which case the write was not sent
+ * @throws StatementNotSentError if the write was not sent; the connection must be closed
  * @throws ConnectionLostError if no response arrived in time, or LeadershipLostError if the primary can't be shown to lead; the write
  *   may have run, and the connection must not be used again
  */
-export async function runLeasedWrite (context: StatementContext, group: ServiceGroup, operation: Operation, pool: EndpointPool, connection: PooledConnection): Promise<EndpointResponse> {
+export async function runLeasedWrite (
+  context: StatementContext,
+  group: ServiceGroup,
+  operation: Operation,
+  { pool, connection, canSend }: LeasedWriteOptions
+): Promise<EndpointResponse> {
   const { clock } = context
   const { endpoint } = pool.entry
-  const { id, text } = operation.statement
   const isLeased = (): boolean => group.measureCommitLeaseMs(endpoint) >= 0
-  if (!isLeased()) throw new LeadershipLostError('the lease of the primary\'s leadership ended before the write was sent')
-  const timeLeftMs = computeTimeLeftMs(operation, clock.readNow())
-  const kind = `${operation.route.name} write`
-  const pendingResponse = group.runStatement(pool, true, timeLeftMs, async () => await connection.run(id, text, null), { kind })
+  if (!isLeased()) throw new StatementNotSentError('the lease of the primary\'s leadership ended before the write was sent')
   const stopRenewal = startLeaseRenewal(context, group, endpoint)
-  const response = await pendingResponse.finally(stopRenewal)
+  const timeLeftMs = computeTimeLeftMs(operation, clock.readNow())
+  const response = await sendWrite(group, operation, { pool, connection, canSend: () => isLeased() && canSend() }, timeLeftMs).finally(stopRenewal)
   if (isLeased() || response.error !== null || response.state !== 'idle') return response
   if (!group.isLeadershipLost(endpoint)) await context.verifyLeadership(group, Math.min(RESPONSE_VERIFICATION_MS, computeTimeLeftMs(operation, clock.readNow())))
   const isVerified = isLeased()
@@ -61,6 +71,27 @@
   throw new LeadershipLostError('the write succeeded at an endpoint that could not be shown to lead')
 }
 
+/** Sends a write once the endpoint has confirmed the session state, if it may still be sent then, and waits for the response. */
+async function sendWrite (group: ServiceGroup, operation: Operation, { pool, connection, canSend }: LeasedWriteOptions, timeLeftMs: number): Promise<EndpointResponse> {
+  const { id, text } = operation.statement
+  let isSent = false
+  let isGivenUp = false
+  const send = async (): Promise<EndpointResponse> => {
+    const refusal = await connection.waitForRestore()
+    if (refusal !== null) return refusal.response
+    if (isGivenUp || !canSend()) throw new LeadershipLostError('the endpoint was not known to lead any more before the write was sent')
+    isSent = true
+    return await connection.run(id, text, null)
+  }
+  try {
+    return await group.runStatement(pool, true, timeLeftMs, send, { kind: `${operation.route.name} write` })
+  } catch (error) {
+    isGivenUp = true
+    if (isSent || error instanceof WarmupLimitError) throw error
+    throw new StatementNotSentError(describeError(error))
+  }
+}
+
 /** Verifies the leadership again before the lease ends, and gives up the writes in flight once it has ended. @returns function that ends this */
 function startLeaseRenewal (context: StatementContext, group: ServiceGroup, endpoint: string): () => void {
   let timer: NodeJS.Timeout | undefined
--- a/packages/gateway/src/statements/pinned-transaction.ts
+++ b/packages/gateway/src/statements/pinned-transaction.ts
@@ -1,10 +1,11 @@
 import { describeError } from '@camphorpitch/wire'
 import type { EndpointResponse } from '../backend/endpoint-connector.ts'
+import { StatementNotSentError } from '../backend/errors.ts'
 import { isPrimaryFresh } from '../freshness/group-state.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
 import { PoolError } from '../pool/errors.ts'
-import type { PooledConnection } from '../pool/pooled-connection.ts'
+import { describeRestoreRefusal, type PooledConnection, type RestoreRefusal } from '../pool/pooled-connection.ts'
 import { ensureLease, runLeasedWrite } from './leased-write.ts'
 import { computeTimeLeftMs, computeWaitMs, createRetryRefusal, readMaxStalenessMs, type Operation, type Outcome } from './operation.ts'
 import { findCurrentRequirement, findPrimaryRequirement, findReadTarget, type ReadTarget } from './read-targets.ts'
@@ -30,6 +31,9 @@
   isReadOnly: boolean
 }
 
+/** The response to a statement, which counts only if the endpoint has refused no session state before it. */
+interface StatementResult { response: EndpointResponse, refusal: RestoreRefusal | null }
+
 /** The transaction opened for a client, or the refusal for the client. */
 export type OpenedTransaction = { transaction: PinnedTransaction } | { refusal: { code: 'busy' | 'lagging' | 'readOnly' | 'aborted', text: string } }
 
@@ -68,7 +72,8 @@
     if (isWrite) this.#hasWritten = true
     if (this.#hasWritten && this.#group.isLeadershipLost(this.pool.entry.endpoint)) return this.#abandon('the primary is being replaced')
     try {
-      const response = await this.#runWithRetries(operation, false)
+      const { response, refusal } = await this.#runWithRetries(operation, async () => await this.#runUncommitted(operation))
+      if (refusal !== null) return this.#abandonUnrestored(operation, refusal)
       this.#context.logResponse(operation, this.pool, null, response)
       if (response.error?.code === 'readOnly') this.#context.refreshPrimary(this.#group)
       if (response.error !== null || response.state !== 'open') this.rollback()
@@ -85,29 +90,37 @@
    * sent only while the primary's leadership is verified.
    */
   async commit (operation: Operation): Promise<Outcome> {
-    if (!this.isOpen) return this.#abandon('the transaction\'s connection was lost')
-    if (!await this.#waitForPermit(operation)) return this.#abandon('the endpoint is warming up')
     const { endpoint } = this.pool.entry
-    const canSend = (): boolean => !this.#group.isLeadershipLost(endpoint)
-    if (this.#hasWritten && !canSend()) return this.#abandon('the primary is being replaced')
-    if (this.#hasWritten && !await ensureLease(this.#context, this.#group, operation, endpoint, canSend)) return this.#abandon('the primary is not known to lead')
-    if (!this.isOpen) return this.#abandon('the transaction\'s connection was lost')
-    if (this.#group.isClosed(this.pool.entry)) return this.#abandonEvacuated()
+    const canSend = (): boolean => !this.#group.isLeadershipLost(endpoint) && !this.#group.isClosed(this.pool.entry)
+    const refused = await this.#refuseCommit(operation, canSend)
+    if (refused !== null) return refused
     try {
-      const response = await this.#runWithRetries(operation, this.#hasWritten)
+      const { response, refusal } = await this.#runWithRetries(operation, async () => await this.#sendCommit(operation, canSend))
+      if (refusal !== null) return this.#abandonUnrestored(operation, refusal)
       this.#context.logResponse(operation, this.pool, null, response)
       if (response.state === 'idle') this.#end(true)
       else this.rollback()
-      return { response, endpoint: this.pool.entry.endpoint }
+      return { response, endpoint }
     } catch (error) {
-      if (error instanceof WarmupLimitError) return this.#abandon(error.message)
-      this.#end(false)
       const reason = describeError(error)
-      this.#context.logNoResponse(operation, this.pool, reason)
+      if (!(error instanceof WarmupLimitError)) this.#context.logNoResponse(operation, this.pool, reason)
+      if (error instanceof WarmupLimitError || error instanceof StatementNotSentError) return this.#abandon(reason)
+      this.#end(false)
       return { refusal: { code: this.#hasWritten ? 'inDoubt' : 'failed', text: reason } }
     }
   }
 
+  /** Refuses a commit that may not be sent now, or not in time. @returns `null` if it may be sent */
+  async #refuseCommit (operation: Operation, canSend: () => boolean): Promise<Outcome | null> {
+    if (!this.isOpen) return this.#abandon('the transaction\'s connection was lost')
+    if (!await this.#waitForPermit(operation)) return this.#abandon('the endpoint is warming up')
+    if (this.#group.isClosed(this.pool.entry)) return this.#abandonEvacuated()
+    if (this.#hasWritten && !canSend()) return this.#abandon('the primary is being replaced')
+    if (this.#hasWritten && !await ensureLease(this.#context, this.#group, operation, this.pool.entry.endpoint, canSend)) return this.#abandon('the primary is not known to lead')
+    if (!this.isOpen) return this.#abandon('the transaction\'s connection was lost')
+    return this.#group.isClosed(this.pool.entry) ? this.#abandonEvacuated() : null
+  }
+
   /** Rolls the transaction back, and returns its connection to the pool once the endpoint has responded. */
   rollback (): void {
     if (this.#isEnded) return
@@ -127,23 +140,32 @@
     return await this.#group.waitForWarmupPermit(this.pool, computeTimeLeftMs(operation, this.#context.clock.readNow())) === null
   }
 
-  /** Runs a statement, and again after a backoff while the endpoint is too busy and the transaction is still open. */
-  async #runWithRetries (operation: Operation, isWrite: boolean): Promise<EndpointResponse> {
+  /**
+   * Restores the session state and runs a statement, and again after a backoff while the endpoint is too busy and the transaction is still
+   * open. Once the endpoint has refused session state, nothing more is sent, and its response to the statement counts for nothing.
+   */
+  async #runWithRetries (operation: Operation, send: () => Promise<EndpointResponse>): Promise<StatementResult> {
     const { clock } = this.#context
     const { requiredState, preparedName } = operation
     for (let attemptCount = 1; ; attemptCount++) {
       this.pool.setHeld(this.#connection, false)
       this.#connection.restoreSession(requiredState, preparedName)
-      const response = isWrite ? await runLeasedWrite(this.#context, this.#group, operation, this.pool, this.#connection) : await this.#runUncommitted(operation)
+      const response = await send()
+      const refusal = await this.#connection.waitForRestore()
       const isBusy = response.error?.code === 'busy' && response.state === 'open'
-      const canRetry = isBusy && attemptCount < MAX_BUSY_ATTEMPTS
+      const canRetry = refusal === null && isBusy && attemptCount < MAX_BUSY_ATTEMPTS
       this.pool.setHeld(this.#connection, true)
-      if (!canRetry || computeTimeLeftMs(operation, clock.readNow()) < 2 * BUSY_BACKOFF_MS) return response
+      if (!canRetry || computeTimeLeftMs(operation, clock.readNow()) < 2 * BUSY_BACKOFF_MS) return { response, refusal }
       await new Promise(resolve => setTimeout(resolve, BUSY_BACKOFF_MS * attemptCount))
-      if (this.#group.isClosed(this.pool.entry)) return response
+      if (this.#group.isClosed(this.pool.entry)) return { response, refusal }
     }
   }
 
+  async #sendCommit (operation: Operation, canSend: () => boolean): Promise<EndpointResponse> {
+    if (!this.#hasWritten) return await this.#runUncommitted(operation)
+    return await runLeasedWrite(this.#context, this.#group, operation, { pool: this.pool, connection: this.#connection, canSend })
+  }
+
   /** Runs a statement that commits nothing. */
   async #runUncommitted (operation: Operation): Promise<EndpointResponse> {
     const { id, text } = operation.statement
@@ -160,6 +182,15 @@
     return this.#abandon(`the failure domain ${this.pool.entry.failureDomain} is evacuated`, returnMs)
   }
 
+  /** Ends the transaction, of which nothing is kept: its commit is sent only after the endpoint has confirmed the session state, or if it has written nothing. */
+  #abandonUnrestored (operation: Operation, refusal: RestoreRefusal): Outcome {
+    this.#context.recordRestoreRefusal(operation, this.pool, refusal)
+    const isNotLeading = refusal.response.error?.code === 'readOnly'
+    if (isNotLeading) this.#context.refreshPrimary(this.#group)
+    const returnMs = isNotLeading ? Math.max(RETRY_AFTER_MS, this.#context.estimateRecoveryMs(this.#group)) : RETRY_AFTER_MS
+    return this.#abandon(describeRestoreRefusal(this.pool.entry.endpoint, refusal), returnMs)
+  }
+
   #abandon (reason: string, retryAfterMs = RETRY_AFTER_MS): Outcome {
     this.#end(false)
     return createRetryRefusal('aborted', reason, retryAfterMs)
@@ -235,6 +266,12 @@
     const { id } = operation.statement
     const begin = async (): Promise<EndpointResponse> => await connection.connection.begin(id, isReadOnly, requiredPosition)
     const response = await group.runStatement(pool, false, timeLeftMs, begin, { kind: 'begin', isPrimaryOnly: !isReadOnly })
+    const refusal = await connection.waitForRestore()
+    if (refusal !== null) {
+      pool.release(connection, false) // The end of the connection also rolls back.
+      context.recordRestoreRefusal(operation, pool, refusal)
+      return createRetryRefusal('busy', describeRestoreRefusal(pool.entry.endpoint, refusal), RETRY_AFTER_MS)
+    }
     if (response.error === null && response.state === 'open') {
       pool.setHeld(connection, true)
       return { transaction: new PinnedTransaction({ context, group, pool, connection, isReadOnly }) }
--- a/packages/gateway/src/statements/run-read.ts
+++ b/packages/gateway/src/statements/run-read.ts
@@ -1,12 +1,14 @@
 import { createRetryBudget, describeError, recordRequest, spendRetry, type LogPosition, type RetryBudget } from '@camphorpitch/wire'
 import type { EndpointResponse } from '../backend/endpoint-connector.ts'
+import { ConnectionLostError } from '../backend/errors.ts'
 import type { ErrorCode } from '../backend/statement.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { isUnreachable, recordBusy } from '../pool/endpoint-health.ts'
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
 import { PoolError, RequestWithdrawnError } from '../pool/errors.ts'
-import type { PooledConnection } from '../pool/pooled-connection.ts'
+import { describeRestoreRefusal, type PooledConnection, type RestoreRefusal } from '../pool/pooled-connection.ts'
 import { Withdrawal } from '../pool/withdrawal.ts'
+import { waitAtMost } from '../runtime/wait-at-most.ts'
 import { WarmupLimitError } from '../warmup/warmup-limits.ts'
 import { isPrimaryFresh } from '../freshness/group-state.ts'
 import { computeTimeLeftMs, computeWaitMs, createRetryRefusal, readMaxStalenessMs, type Operation, type Outcome } from './operation.ts'
@@ -221,6 +223,11 @@
     pool.release(connection, true)
     return { kind: 'notRun', reason: warmupRefusal.message, code: 'busy', retryAfterMs: warmupRefusal.retryAfterMs }
   }
+  const unreplaced = await replacePreparedWrite(context, operation, pool, connection)
+  if (unreplaced !== null) {
+    pool.release(connection, false)
+    return unreplaced
+  }
   const requiredPosition = await verifyRequirement(context, group, operation, target)
   if (requiredPosition === undefined) {
     pool.release(connection, true)
@@ -237,6 +244,29 @@
   return { connection, requiredPosition }
 }
 
+/**
+ * Replaces a prepared statement of the connection that writes and has the name of the one that the read executes. It waits for the
+ * confirmation: behind a refused command, the endpoint would run the write.
+ *
+ * @returns `null` if there is none any more, else the result of the attempt, which has sent no statement of the client
+ */
+async function replacePreparedWrite (context: StatementContext, operation: Operation, pool: EndpointPool, connection: PooledConnection): Promise<AttemptResult | null> {
+  const { requiredState, preparedName } = operation
+  if (preparedName === null || !connection.hasOtherWrite(requiredState, preparedName)) return null
+  connection.restoreSession(requiredState, preparedName)
+  const timeLeftMs = computeTimeLeftMs(operation, context.clock.readNow())
+  try {
+    const refusal = await waitAtMost(connection.waitForRestore(), timeLeftMs, () => new ConnectionLostError(`no answer within ${Math.round(timeLeftMs)} ms`))
+    if (refusal === null) return null
+    context.recordRestoreRefusal(operation, pool, refusal)
+    return { kind: 'notRun', reason: describeRestoreRefusal(pool.entry.endpoint, refusal), code: 'busy', retryAfterMs: RETRY_AFTER_MS }
+  } catch (error) {
+    const reason = describeError(error)
+    context.logNoResponse(operation, pool, reason)
+    return { kind: 'notRun', reason, code: 'busy', retryAfterMs: RETRY_AFTER_MS }
+  }
+}
+
 async function startAttempt (
   context: StatementContext,
   group: ServiceGroup,
@@ -257,9 +287,13 @@
     const timeLeftMs = computeTimeLeftMs(operation, clock.readNow())
     const run = async (): Promise<EndpointResponse> => await connection.run(statement.id, statement.text, requiredPosition)
     const response = await group.runStatement(pool, false, timeLeftMs, run, { kind: route.name })
-    await connection.waitForRestore()
+    const refusal = await connection.waitForRestore()
     pool.release(connection, response.state === 'idle')
-    recordReadTime(context, group, operation, target, selectedAtMs, response.error?.code)
+    recordReadTime(context, group, operation, target, selectedAtMs, refusal?.response.error?.code ?? response.error?.code)
+    if (refusal !== null) {
+      context.recordRestoreRefusal(operation, pool, refusal)
+      return { kind: 'responded', response: createRefusedResponse(pool, refusal), endpoint: pool.entry.endpoint }
+    }
     if (response.error?.code === 'lagging') pool.laggingUntilMs = clock.readNow() + LAGGING_AVOID_MS
     if (response.error?.code === 'busy') recordBusy(pool.health, BUSY_AVOID_MS, clock.readNow())
     context.logResponse(operation, pool, requiredPosition, response)
@@ -274,6 +308,11 @@
   }
 }
 
+/** Creates the response to a read in place of what its endpoint has answered: it may have run with other session values. */
+function createRefusedResponse ({ entry: { endpoint } }: EndpointPool, refusal: RestoreRefusal): EndpointResponse {
+  return { rows: [], signature: null, error: { code: 'failed', text: describeRestoreRefusal(endpoint, refusal) }, state: 'idle', position: null }
+}
+
 /** Creates the result of an attempt that was not sent before the read ended otherwise; nobody waits for it any more. */
 function createWithdrawnResult (): AttemptResult {
   return { kind: 'notRun', reason: 'the read has ended', code: 'busy', retryAfterMs: RETRY_AFTER_MS }
--- a/packages/gateway/src/statements/run-write.ts
+++ b/packages/gateway/src/statements/run-write.ts
@@ -1,17 +1,18 @@
 import { describeError } from '@camphorpitch/wire'
+import { StatementNotSentError } from '../backend/errors.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { isUnreachable } from '../pool/endpoint-health.ts'
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
 import { PoolError } from '../pool/errors.ts'
-import type { PooledConnection } from '../pool/pooled-connection.ts'
+import { describeRestoreRefusal, type PooledConnection } from '../pool/pooled-connection.ts'
 import { ensureLease, runLeasedWrite } from './leased-write.ts'
 import { computeWaitMs, createRetryRefusal, type Operation, type Outcome } from './operation.ts'
 import type { StatementContext } from './statement-context.ts'
 import { refuseRuledOutPrimary } from './usable-pools.ts'
 import { WarmupLimitError } from '../warmup/warmup-limits.ts'
 
-/** Retry time given to the client when the primary's leadership could not be verified, in milliseconds. */
-const UNVERIFIED_RETRY_AFTER_MS = 200
+/** Retry time given to the client when its write was not sent to the primary, in milliseconds. */
+const UNSENT_RETRY_AFTER_MS = 200
 
 /** A connection to the primary, or the refusal for the client. */
 export type AcquiredPrimary = { pool: EndpointPool, connection: PooledConnection } | { refusal: { code: 'busy', text: string }, isUnreachable?: boolean }
@@ -77,23 +78,29 @@
   const { requiredState, preparedName } = operation
   const { endpoint } = pool.entry
   const canSend = (): boolean => group.isWritable && group.primaryPool === pool && group.hasLease(endpoint)
+  const refuseUnsent = (reason: string): Outcome => createRetryRefusal('busy', reason, Math.max(UNSENT_RETRY_AFTER_MS, context.estimateRecoveryMs(group)))
   if (!await ensureLease(context, group, operation, endpoint, canSend) || !connection.connection.isOpen) {
     pool.release(connection, true)
-    return createRetryRefusal('busy', 'the primary is not known to lead', Math.max(UNVERIFIED_RETRY_AFTER_MS, context.estimateRecoveryMs(group)))
+    return refuseUnsent('the primary is not known to lead')
   }
   connection.restoreSession(requiredState, preparedName)
   try {
-    const response = await runLeasedWrite(context, group, operation, pool, connection)
-    await connection.waitForRestore()
+    const response = await runLeasedWrite(context, group, operation, { pool, connection, canSend })
+    const refusal = await connection.waitForRestore()
     pool.release(connection, response.state === 'idle')
-    context.logResponse(operation, pool, null, response)
     if (response.error?.code === 'readOnly') context.refreshPrimary(group)
+    if (refusal !== null) {
+      context.recordRestoreRefusal(operation, pool, refusal)
+      return refuseUnsent(describeRestoreRefusal(endpoint, refusal))
+    }
+    context.logResponse(operation, pool, null, response)
     return { response, endpoint }
   } catch (error) {
     pool.release(connection, false)
     if (error instanceof WarmupLimitError) return createRetryRefusal('busy', error.message, error.retryAfterMs)
     const reason = describeError(error)
     context.logNoResponse(operation, pool, reason)
+    if (error instanceof StatementNotSentError) return refuseUnsent(reason)
     return { refusal: { code: 'inDoubt', text: reason } }
   }
 }
--- a/packages/gateway/src/statements/statement-context.ts
+++ b/packages/gateway/src/statements/statement-context.ts
@@ -2,6 +2,7 @@
 import type { EndpointResponse } from '../backend/endpoint-connector.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { EndpointPool } from '../pool/endpoint-pool.ts'
+import type { RestoreRefusal } from '../pool/pooled-connection.ts'
 import type { RuledOutEndpoint } from '../routing/usable-endpoints.ts'
 import type { LeavingControl } from './leaving-control.ts'
 import type { Operation } from './operation.ts'
@@ -32,6 +33,8 @@
   recordUnleasedResponse: (operation: Operation, group: ServiceGroup, pool: EndpointPool, response: EndpointResponse, outcome: UnleasedOutcome) => void
   /** Logs and counts the refusal of an operation that may use none of the endpoints that could run it. */
   recordRuledOut?: (operation: Operation, group: ServiceGroup, ruledOut: readonly RuledOutEndpoint[], retryAfterMs: number) => void
+  /** Logs and counts that an endpoint has refused a command which gives a connection the session's state. */
+  recordRestoreRefusal: (operation: Operation, pool: EndpointPool, refusal: RestoreRefusal) => void
   /** Logs that an endpoint did not respond to a statement. */
   logNoResponse: (operation: Operation, pool: EndpointPool, reason: string) => void
 }
--- a/packages/gateway/src/testing/load/run-load.ts
+++ b/packages/gateway/src/testing/load/run-load.ts
@@ -419,6 +419,7 @@
       rollbackTimeoutMs: ROLLBACK_TIMEOUT_MS,
       logResponse: () => {},
       recordUnleasedResponse: () => {},
+      recordRestoreRefusal: () => {},
       logNoResponse: () => {}
     }
   }
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -314,6 +314,7 @@
       rollbackTimeoutMs: STATEMENT_TIMEOUT_MS,
       logResponse: () => {},
       recordUnleasedResponse: () => {},
+      recordRestoreRefusal: () => {},
       logNoResponse: () => {}
     }
   }
