Bring VMs back into the fleet that others have removed while they ran

Cause: a VM that leaves polls unanswered for 60 s is removed from the store and, by the watch, from all VMs. One that runs never wrote its entry again and introduced itself in its first 20 polls only, so that it stayed unknown after the regions had met again. A promoting VM asked the members that were left and took their positions for all acknowledged ones, once any of them had had a commit acknowledged since.

Change: a VM whose entry is deleted writes it again. A VM that is removed without having announced that it leaves counts as missing for 15 minutes: it is polled, one in each round and with the sender's entry, and is a member again once a message of it arrives, also without the store. While a VM misses one, or one that confirms a revocation says that it does, the acknowledged positions are not taken for complete, so that a replica that can't be paused stops the promotion as it does in the first minute.

Open: a VM that was removed, reaches no other VM and not the store, and goes on having commits acknowledged for over 15 minutes.

--- a/packages/gateway/src/fleet/fleet-message-handler.test.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.test.ts
@@ -1,8 +1,11 @@
 import { createLogger } from '@camphorpitch/wire'
 import { expect } from 'chai'
+import type { Revocation } from '../failover/promotion-attempt.ts'
+import type { ServiceGroup } from '../groups/service-group.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
+import type { Fleet } from './fleet.ts'
 import { FleetMessageHandler, type EndpointExchange, type FleetMessageHandlerOptions } from './fleet-message-handler.ts'
-import { addMember, createMemberState, recordPoll, recordReport, type MemberState } from './members.ts'
+import { addMember, createMemberState, MISSING_KEPT_MS, recordLeft, recordPoll, recordReport, removeUnannounced, type MemberState } from './members.ts'
 import type { Report, VmEntry } from './message-schemas.ts'
 
 const logger = createLogger({ process: 'test', level: 'silent' })
@@ -58,3 +61,54 @@
     expect(createReport(createMembers(), { vmsKnown: 3 }, endpoints).hasEndpoints).to.equal(undefined)
   })
 })
+
+describe('a revocation of the leadership', () => {
+  /** Revokes a leadership that `vm-b` confirms at once. */
+  async function revoke (members: MemberState, nowMs: number, confirmation: object = {}): Promise<Revocation> {
+    const clock = new VirtualClock()
+    const group = {
+      service: 's',
+      state: { primary: { endpoint: 'p', term: 1 }, acknowledged: { term: 1, index: 9 }, lastCommitSentAtMs: nowMs, openOrder: null },
+      formerPrimary: null,
+      revokeLeadership: () => {}
+    }
+    const options = { clock, logger, self: members.self, members, configuration: { version: 1, subscribe: () => {} }, groups: { list: () => [group] } }
+    const handler = new FleetMessageHandler(options as unknown as FleetMessageHandlerOptions)
+    clock.nowMs = nowMs
+    const send = (vm: string, message: { type: string, attempt?: string }): void => {
+      if (message.type !== 'revoke') return
+      queueMicrotask(() => handler.createHandlers().handleMessage(vm, { type: 'revoked', service: 's', attempt: message.attempt!, endpoints: [], departures: [], lastCommitAgeMs: 0, uptimeMs: nowMs, hasMissingVms: false, ...confirmation }))
+    }
+    handler.connect({ send } as unknown as Fleet, undefined as never, undefined as never)
+    return await handler.createPromotionCallbacks().revoke(group as unknown as ServiceGroup, 2, false, 100)
+  }
+
+  function createRespondingMembers (nowMs: number): MemberState {
+    const state = createMemberState(createEntry('vm-a'))
+    for (const vm of ['vm-b', 'vm-c']) addMember(state, createEntry(vm))
+    for (const vm of ['vm-b', 'vm-c']) recordReport(state, vm, nowMs)
+    return state
+  }
+
+  // Guards against an order that passes over commits of a VM that runs, after other VMs have removed it (LOST).
+  it('does not take the acknowledged positions for complete while a VM is missing that may still run', async () => {
+    const members = createRespondingMembers(NOW_MS)
+    expect((await revoke(members, NOW_MS)).hasEveryAcknowledgement).to.equal(true)
+    removeUnannounced(members, 'vm-c', NOW_MS)
+    expect((await revoke(members, NOW_MS)).hasEveryAcknowledgement).to.equal(false)
+    const lateMs = NOW_MS + MISSING_KEPT_MS
+    expect((await revoke(members, lateMs - 1)).hasEveryAcknowledgement).to.equal(false)
+    expect((await revoke(members, lateMs)).hasEveryAcknowledgement).to.equal(true)
+  })
+
+  it('takes them for complete without a VM that has announced that it leaves', async () => {
+    const members = createRespondingMembers(NOW_MS)
+    removeUnannounced(members, 'vm-c', NOW_MS)
+    recordLeft(members, 'vm-c', 1)
+    expect((await revoke(members, NOW_MS)).hasEveryAcknowledgement).to.equal(true)
+  })
+
+  it('does not take them for complete if another VM misses one', async () => {
+    expect((await revoke(createRespondingMembers(NOW_MS), NOW_MS, { hasMissingVms: true })).hasEveryAcknowledgement).to.equal(false)
+  })
+})
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -16,7 +16,7 @@
 import type { Fleet, FleetOptions, Poll } from './fleet.ts'
 import { applyReportedVersion, createPeerFetch, resetPeerFetch } from './peer-fetch.ts'
 import { applyGroupReport, createGroupReport } from './group-reports.ts'
-import { createMemberLosses, hasAllMembers, listRecentlyResponsive, listPossiblyRunning, listSilent, updateMemberLosses, type MemberLosses, type MemberState } from './members.ts'
+import { createMemberLosses, hasAllMembers, listMissing, listRecentlyResponsive, listPossiblyRunning, listSilent, updateMemberLosses, type MemberLosses, type MemberState } from './members.ts'
 import { decodeGroupReport, encodeGroupReport, type ClaimsReported, type ClaimsWanted, type FleetMessage, type Permit, type Report, type VmEntry } from './message-schemas.ts'
 import { addConfirmation, RevocationCollector } from './revocations.ts'
 
@@ -213,7 +213,7 @@
   }
 
   #handlePromotionMessage (vm: string, message: PromotionMessage): void {
-    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null, formerPrimary: message.formerPrimary ?? null, openOrder: message.openOrder ?? null, endpoints: message.endpoints, departures: message.departures, lastCommitAgeMs: message.lastCommitAgeMs ?? Infinity, uptimeMs: message.uptimeMs })
+    if (message.type === 'revoked') this.#revocations.confirm(message.attempt, vm, { acknowledged: message.acknowledged ?? null, primary: message.primary ?? null, formerPrimary: message.formerPrimary ?? null, openOrder: message.openOrder ?? null, endpoints: message.endpoints, departures: message.departures, lastCommitAgeMs: message.lastCommitAgeMs ?? Infinity, uptimeMs: message.uptimeMs, hasMissingVms: message.hasMissingVms })
     else if (message.type === 'ordered') this.#handleOrder(vm, message)
     else if (message.type === 'promoted') this.#handlePromotionOutcome(vm, message)
     else this.#handleRevoke(vm, message).catch((error: unknown) => this.#options.logger.error('leadership revocation failed', { error: String(error) }))
@@ -244,7 +244,8 @@
       openOrder: group?.state.openOrder ?? undefined,
       ...listEndpointStarts(group, endpoint),
       lastCommitAgeMs: lastCommitSentAtMs === -Infinity ? undefined : nowMs - lastCommitSentAtMs,
-      uptimeMs: nowMs - this.#startedAtMs
+      uptimeMs: nowMs - this.#startedAtMs,
+      hasMissingVms: listMissing(this.#options.members, nowMs).length > 0
     })
   }
 
@@ -265,12 +266,13 @@
     this.#revokingVms.set(group.service, self.vm)
     await this.#revokeLocalLeadership(group, endpoint, term, isPlanned)
     const { acknowledged, primary, lastCommitSentAtMs } = group.state
-    const revocation = addConfirmation(await confirmations, { acknowledged, primary, formerPrimary: group.formerPrimary, openOrder: group.state.openOrder, endpoints: [], departures: [], lastCommitAgeMs: sentAtMs - lastCommitSentAtMs, uptimeMs: Infinity })
+    const revocation = addConfirmation(await confirmations, { acknowledged, primary, formerPrimary: group.formerPrimary, openOrder: group.state.openOrder, endpoints: [], departures: [], lastCommitAgeMs: sentAtMs - lastCommitSentAtMs, uptimeMs: Infinity, hasMissingVms: false })
     const finishedAtMs = clock.readNow()
     updateMemberLosses(this.#losses, members, finishedAtMs)
     const lastLossAtMs = Math.max(this.#losses.lastLossAtMs, finishedAtMs - revocation.uptimeMs)
-    const isEveryMemberAsked = vms.length === members.members.size
-    return { ...revocation, hasEveryAcknowledgement: revocation.hasEveryVmConfirmed && isEveryMemberAsked && sentAtMs - revocation.lastCommitAgeMs > lastLossAtMs }
+    // A missing VM may run beside the primary, with commits acknowledged that no other VM knows of.
+    const isEveryVmAsked = vms.length === members.members.size && listMissing(members, finishedAtMs).length === 0 && !revocation.hasMissingVms
+    return { ...revocation, hasEveryAcknowledgement: revocation.hasEveryVmConfirmed && isEveryVmAsked && sentAtMs - revocation.lastCommitAgeMs > lastLossAtMs }
   }
 
   #handleOrder (vm: string, { service, order }: Extract<FleetMessage, { type: 'ordered' }>): void {
--- a/packages/gateway/src/fleet/fleet.ts
+++ b/packages/gateway/src/fleet/fleet.ts
@@ -3,9 +3,9 @@
 import type { z } from 'zod'
 import { EpochChangedError, RevisionConflictError } from '../metadata/errors.ts'
 import type { Listing, MetadataStore } from '../metadata/metadata-store.ts'
-import type { Revision } from '../metadata/revision.ts'
+import { compareRevisions, type Revision } from '../metadata/revision.ts'
 import { watchKind, type KindWatch } from '../metadata/watch-kind.ts'
-import { addMember, computeRank, REMOVE_ENTRY_AFTER_MS, isResponsive, listPolled, measureUnansweredMs, recordLeft, recordPoll, recordPolledBy, recordReport, recordSilentVms, removeMember, type MemberState } from './members.ts'
+import { addMember, computeRank, REMOVE_ENTRY_AFTER_MS, isResponsive, listMissing, listPolled, measureUnansweredMs, recordLeft, recordPoll, recordPolledBy, recordReport, recordSilentVms, removeUnannounced, restoreMissing, type MemberState } from './members.ts'
 import { fleetMessageSchema, vmEntrySchema, type FleetMessage, type pollSchema, type Report } from './message-schemas.ts'
 
 export const FLEET_SLICE = 'fleet'
@@ -86,12 +86,15 @@
         if (!state.hasMemberList && listing.asOf.epoch > 0) state.incompleteUntilMs = clock.readNow() + REGISTRATION_TIME_MS
         state.hasMemberList = true
         for (const item of listing.items) this.#addEntry(item.value)
+        if (!listing.items.some(i => i.name === state.self.vm)) this.#handleLocalEntryMissing(listing.asOf)
         if (listing.asOf.epoch > 0) this.#deleteLeftEntries(listing)
       },
-      applyChanges: changes => {
+      applyChanges: (changes, asOf) => {
+        const { state, clock } = this.#options
         for (const { object, isRemoved } of changes) {
-          if (isRemoved) removeMember(this.#options.state, object.name)
-          else this.#addEntry(object.value)
+          if (!isRemoved) this.#addEntry(object.value)
+          else if (object.name === state.self.vm) this.#handleLocalEntryMissing(asOf)
+          else removeUnannounced(state, object.name, clock.readNow())
         }
       }
     })
@@ -108,17 +111,30 @@
     for (const member of polled) recordPoll(member, sentAtMs)
   }
 
+  /** Polls one of the missing VMs, each in turn. It may have removed this VM as well, so the poll carries this VM's entry. */
+  #pollMissing (): void {
+    const { state, network, clock } = this.#options
+    const missing = listMissing(state, clock.readNow())
+    const polled = missing[this.#round % missing.length]
+    if (polled !== undefined) network.sendTo(polled.host, polled.port, FLEET_SLICE, { ...this.#createTrackedPoll(clock.readNow()), vm: state.self })
+  }
+
   /** Sends a poll to some VMs. @returns when it was sent */
   #sendPoll (vms: readonly string[]): number {
-    const { network, clock, createPoll } = this.#options
-    const poll = createPoll(++this.#lastPollSequence)
+    const { network, clock } = this.#options
     const sentAtMs = clock.readNow()
-    this.#pollSentAtMsBySequence.set(this.#lastPollSequence, sentAtMs)
-    this.#pollSentAtMsBySequence.delete(this.#lastPollSequence - MAX_TRACKED_POLLS)
+    const poll = this.#createTrackedPoll(sentAtMs)
     for (const vm of vms) network.send(vm, FLEET_SLICE, poll)
     return sentAtMs
   }
 
+  #createTrackedPoll (sentAtMs: number): Poll {
+    const poll = this.#options.createPoll(++this.#lastPollSequence)
+    this.#pollSentAtMsBySequence.set(this.#lastPollSequence, sentAtMs)
+    this.#pollSentAtMsBySequence.delete(this.#lastPollSequence - MAX_TRACKED_POLLS)
+    return poll
+  }
+
   send (vm: string, message: FleetMessage): void {
     this.#options.network.send(vm, FLEET_SLICE, message)
   }
@@ -150,6 +166,7 @@
   #startRound (): void {
     this.#round++
     this.poll()
+    this.#pollMissing()
     this.#options.handleRound()
     if (this.#round % ROUNDS_PER_MEMBER_SWEEP === 0) this.#removeUnresponsiveMembers()
   }
@@ -162,6 +179,7 @@
       return
     }
     const message = parsed.data
+    if (message.type !== 'left' && restoreMissing(this.#options.state, from.vm, from.incarnation)) logger.info('missing vm returned to the members of the fleet', { vm: from.vm })
     if (message.type === 'poll') {
       if (message.vm !== undefined) this.#addEntry(message.vm)
       recordPolledBy(this.#options.state, from.vm, this.#options.clock.readNow())
@@ -201,6 +219,20 @@
     if (addMember(state, parsed.data)) logger.info('vm added to the members of the fleet', { ...parsed.data })
   }
 
+  /**
+   * Has this VM's entry written again after another VM has deleted it, which had not reached this VM for long: without an entry, other VMs
+   * would not ask this one before they replace a primary.
+   *
+   * @param asOf revision as of which the store did not have the entry
+   */
+  #handleLocalEntryMissing (asOf: Revision): void {
+    const { state: { self }, logger } = this.#options
+    if (this.#isStopped || this.#localEntryRevision === null || compareRevisions(asOf, this.#localEntryRevision) < 0) return
+    logger.warn('local vm entry was deleted by another vm, it is written again', { vm: self.vm, asOf })
+    this.#localEntryRevision = null
+    this.#startRegistration(true)
+  }
+
   /** Starts to write this VM's entry into the store, unless that is in progress. */
   #startRegistration (mayBeRegistered: boolean): void {
     const { logger } = this.#options
@@ -270,7 +302,7 @@
       const { vm } = member.entry
       store.find('vms', vm).then(async found => { if (found !== undefined) await store.delete('vms', vm, found.revision) })
         .catch((error: unknown) => logger.info('removal of an unresponsive vm entry failed', { vm, reason: String(error) }))
-      removeMember(state, vm)
+      removeUnannounced(state, vm, nowMs)
       logger.info('unresponsive vm removed from the members of the fleet', { vm })
     }
   }
--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -5,6 +5,11 @@
 export const VM_UNRESPONSIVE_AFTER_MS = 1_500
 /** A VM that has left polls unanswered for this long has its entry removed. */
 export const REMOVE_ENTRY_AFTER_MS = 60_000
+/**
+ * A VM that was removed without having announced that it leaves may still run for this long, beside the primary and with commits
+ * acknowledged: regions lose each other for minutes.
+ */
+export const MISSING_KEPT_MS = 15 * 60_000
 /** A VM that has left polls unanswered for this long is presumed stopped. Only for uses that stay safe if it still runs. */
 const PRESUMED_STOPPED_AFTER_MS = REMOVE_ENTRY_AFTER_MS / 3
 /** Up to this many other VMs are all polled in each round: small sites run 8 to 9 VMs, and a replaced VM stays a member for up to a minute. */
@@ -37,9 +42,14 @@
   silentVms: { vms: ReadonlySet<string>, reportedAtMs: number } | null
 }
 
+/** A VM that was removed without having announced that it leaves. It may still run. */
+export interface MissingVm { entry: VmEntry, removedAtMs: number }
+
 export interface MemberState {
   self: VmEntry
   members: Map<string, Member>
+  /** VMs that were removed and may still run, by name; kept for `MISSING_KEPT_MS`. */
+  missing: Map<string, MissingVm>
   /** Incarnation of each VM that has announced that it leaves the fleet; entries of that incarnation or earlier ones are ignored. */
   left: Map<string, number>
   /** Number of changes to `members` so far. */
@@ -51,7 +61,7 @@
 }
 
 export function createMemberState (self: VmEntry): MemberState {
-  return { self, members: new Map(), left: new Map(), changes: 0, hasMemberList: false, incompleteUntilMs: -Infinity }
+  return { self, members: new Map(), missing: new Map(), left: new Map(), changes: 0, hasMemberList: false, incompleteUntilMs: -Infinity }
 }
 
 /**
@@ -65,6 +75,7 @@
   // An older build that passes an entry on drops the capacity, which the store and the VM itself tell.
   if (existing?.entry.incarnation === entry.incarnation && entry.capacity !== undefined) existing.entry.capacity = entry.capacity
   if (existing !== undefined && existing.entry.incarnation >= entry.incarnation) return false
+  state.missing.delete(entry.vm)
   state.members.set(entry.vm, { entry, lastAnsweredPollSentAtMs: -Infinity, unansweredSinceMs: null, lastPolledAtMs: null, silentVms: null })
   state.changes++
   return true
@@ -74,11 +85,36 @@
   if (state.members.delete(vm)) state.changes++
 }
 
+/** Removes a VM that has not announced that it leaves: it has not answered for long, or its entry was deleted by another VM. */
+export function removeUnannounced (state: MemberState, vm: string, nowMs: number): void {
+  const member = state.members.get(vm)
+  if (member === undefined) return
+  state.missing.set(vm, { entry: member.entry, removedAtMs: nowMs })
+  removeMember(state, vm)
+}
+
+/**
+ * Makes a missing VM a member again, after a message of it has arrived.
+ *
+ * @returns whether it was missing
+ */
+export function restoreMissing (state: MemberState, vm: string, incarnation: number): boolean {
+  const missing = state.missing.get(vm)
+  return missing !== undefined && missing.entry.incarnation === incarnation && addMember(state, missing.entry)
+}
+
+/** Lists the VMs that were removed and may still run, the one that has been missing for longest first. Forgets those that have been missing for too long. */
+export function listMissing (state: MemberState, nowMs: number): VmEntry[] {
+  for (const [vm, { removedAtMs }] of state.missing) if (nowMs - removedAtMs >= MISSING_KEPT_MS) state.missing.delete(vm)
+  return [...state.missing.values()].map(m => m.entry)
+}
+
 /** Removes a VM that has announced that it leaves the fleet, unless a later incarnation of it is known. */
 export function recordLeft (state: MemberState, vm: string, incarnation: number): void {
   const existing = state.members.get(vm)
   if (existing !== undefined && existing.entry.incarnation > incarnation) return
   state.left.set(vm, incarnation)
+  state.missing.delete(vm)
   removeMember(state, vm)
 }
 
--- a/packages/gateway/src/fleet/message-schemas.ts
+++ b/packages/gateway/src/fleet/message-schemas.ts
@@ -153,7 +153,9 @@
   /** Age of the sender's latest acknowledged commit; absent without one. */
   lastCommitAgeMs: z.number().optional(),
   /** Time since the sender's start. */
-  uptimeMs: z.number().default(0)
+  uptimeMs: z.number().default(0),
+  /** Whether the sender knows VMs that were removed from the fleet and may still run. */
+  hasMissingVms: z.boolean().default(false)
 })
 /** A promoting VM announces an order that it is about to send. */
 export const orderedSchema = z.object({
--- a/packages/gateway/src/fleet/registration.test.ts
+++ b/packages/gateway/src/fleet/registration.test.ts
@@ -3,7 +3,7 @@
 import { MemoryStore } from '../testing/memory-store.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
 import { Fleet } from './fleet.ts'
-import { createMemberState } from './members.ts'
+import { createMemberState, listMissing, type MemberState } from './members.ts'
 import type { VmEntry } from './message-schemas.ts'
 
 const logger = createLogger({ process: 'test', level: 'silent' })
@@ -11,22 +11,23 @@
 const STEP_MS = 5
 
 class SilentNetwork extends PeerNetwork {
+  readonly sentTo: Array<{ host: string, port: number, body: unknown }> = []
   #handle: (from: Hello, body: unknown) => void = () => {}
   override readonly self = { version: PEER_PROTOCOL_VERSION, vm: self.vm, incarnation: self.incarnation, failureDomain: self.failureDomain }
   override send (): void {}
-  override sendTo (): void {}
+  override sendTo (host: string, port: number, _slice: string, body: unknown): void { this.sentTo.push({ host, port, body }) }
   override subscribe (_slice: string, handle: (from: Hello, body: unknown) => void): void { this.#handle = handle }
   override subscribeLinkLoss (): void {}
 
   /** Delivers a message of another VM. */
-  receive (vm: string, body: unknown): void {
-    this.#handle({ ...this.self, vm }, body)
+  receive (vm: string, body: unknown, incarnation = self.incarnation): void {
+    this.#handle({ ...this.self, vm, incarnation }, body)
   }
 }
 
-function startFleet (store: MemoryStore, network = new SilentNetwork()): Fleet {
+function startFleet (store: MemoryStore, network = new SilentNetwork(), state = createMemberState(self)): Fleet {
   const fleet = new Fleet({
-    state: createMemberState(self),
+    state,
     network,
     store,
     clock: new VirtualClock(),
@@ -110,6 +111,28 @@
     expect(store.state.objects.has('vms/vm-a')).to.equal(false)
   })
 
+  // Guards against a promotion that asks only the VMs with an entry, while one without runs beside the primary.
+  it('is written again after another VM has deleted it', async () => {
+    const store = new MemoryStore()
+    const fleet = startFleet(store)
+    await waitUntil(() => fleet.isRegistered)
+    await new Promise(resolve => setTimeout(resolve, 4 * STEP_MS))
+    store.remove('vms', 'vm-a')
+    await waitUntil(() => store.state.objects.has('vms/vm-a'))
+    expect(store.state.objects.get('vms/vm-a')?.value).to.deep.equal(self)
+    await fleet.stop()
+    expect(store.state.objects.has('vms/vm-a')).to.equal(false)
+  })
+
+  it('is not written again by a VM that stops', async () => {
+    const store = new MemoryStore()
+    const fleet = startFleet(store)
+    await waitUntil(() => fleet.isRegistered)
+    await fleet.stop()
+    await new Promise(resolve => setTimeout(resolve, 4 * STEP_MS))
+    expect(store.state.objects.has('vms/vm-a')).to.equal(false)
+  })
+
   it('of a VM that has left is deleted again when the store returns from a copy that has it', async () => {
     const store = new MemoryStore()
     store.replace('vms', 'vm-b', { ...self, vm: 'vm-b', incarnation: 8 })
@@ -128,3 +151,42 @@
     await fleet.stop()
   })
 })
+
+describe('a VM whose entry was deleted by another VM', () => {
+  const entry: VmEntry = { ...self, vm: 'vm-b', incarnation: 8 }
+
+  async function startWithout (network: SilentNetwork): Promise<{ fleet: Fleet, state: MemberState }> {
+    const store = new MemoryStore()
+    store.replace('vms', 'vm-b', entry)
+    const state = createMemberState(self)
+    const fleet = startFleet(store, network, state)
+    await waitUntil(() => state.members.has('vm-b'))
+    await new Promise(resolve => setTimeout(resolve, 4 * STEP_MS))
+    store.remove('vms', 'vm-b')
+    await waitUntil(() => !state.members.has('vm-b'))
+    return { fleet, state }
+  }
+
+  it('is asked whether it runs, by a poll that introduces the sender, until it answers', async () => {
+    const network = new SilentNetwork()
+    const { fleet, state } = await startWithout(network)
+    expect(listMissing(state, 0)).to.deep.equal([entry])
+    await waitUntil(() => network.sentTo.length > 0)
+    expect(network.sentTo[0]).to.deep.include({ host: entry.host, port: entry.port })
+    expect(network.sentTo[0]!.body).to.deep.include({ type: 'poll', vm: self })
+    network.receive('vm-b', { type: 'poll', sequence: 1, vmsKnown: 1 }, 8)
+    expect(state.members.get('vm-b')?.entry).to.deep.equal(entry)
+    expect(listMissing(state, 0)).to.deep.equal([])
+    await fleet.stop()
+  })
+
+  it('is not a member again by a message of an earlier start, or once it has announced that it leaves', async () => {
+    const network = new SilentNetwork()
+    const { fleet, state } = await startWithout(network)
+    network.receive('vm-b', { type: 'poll', sequence: 1, vmsKnown: 1 }, 7)
+    expect(state.members.has('vm-b')).to.equal(false)
+    network.receive('vm-b', { type: 'left', incarnation: 8 }, 8)
+    expect([state.members.has('vm-b'), listMissing(state, 0).length]).to.deep.equal([false, 0])
+    await fleet.stop()
+  })
+})
--- a/packages/gateway/src/fleet/revocations.ts
+++ b/packages/gateway/src/fleet/revocations.ts
@@ -19,6 +19,8 @@
   lastCommitAgeMs: number
   /** Time since the VM's start; 0 if it is not known. */
   uptimeMs: number
+  /** Whether the VM knows VMs that were removed from the fleet and may still run. */
+  hasMissingVms: boolean
 }
 
 /** What the VMs have confirmed a revocation with. */
@@ -27,6 +29,8 @@
   lastCommitAgeMs: number
   /** Time since the latest start of any VM. */
   uptimeMs: number
+  /** Whether any VM knows VMs that were removed from the fleet and may still run. */
+  hasMissingVms: boolean
 }
 
 interface PendingRevocation extends Omit<Confirmations, 'hasEveryVmConfirmed'> {
@@ -35,7 +39,7 @@
 }
 
 /** Adds what a VM knows to what the others have confirmed with. */
-export function addConfirmation<T extends Omit<Confirmations, 'hasEveryVmConfirmed'>> (revocation: T, { acknowledged, primary, formerPrimary, openOrder, endpoints, departures, lastCommitAgeMs, uptimeMs }: Confirmation): T {
+export function addConfirmation<T extends Omit<Confirmations, 'hasEveryVmConfirmed'>> (revocation: T, { acknowledged, primary, formerPrimary, openOrder, endpoints, departures, lastCommitAgeMs, uptimeMs, hasMissingVms }: Confirmation): T {
   return {
     ...revocation,
     acknowledged: acknowledged === null ? revocation.acknowledged : pickLaterPosition(revocation.acknowledged, acknowledged),
@@ -45,7 +49,8 @@
     endpoints: [...revocation.endpoints, ...endpoints],
     departures: [...revocation.departures, ...departures],
     lastCommitAgeMs: Math.min(revocation.lastCommitAgeMs, lastCommitAgeMs),
-    uptimeMs: Math.min(revocation.uptimeMs, uptimeMs)
+    uptimeMs: Math.min(revocation.uptimeMs, uptimeMs),
+    hasMissingVms: revocation.hasMissingVms || hasMissingVms
   }
 }
 
@@ -59,7 +64,7 @@
 
   /** Waits until all VMs have confirmed an attempt, at most for `waitMs` milliseconds. */
   async collect (attempt: string, vms: readonly string[], waitMs: number): Promise<Confirmations> {
-    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, latestPrimary: null, formerPrimary: null, openOrder: null, endpoints: [], departures: [], lastCommitAgeMs: Infinity, uptimeMs: Infinity, finish: () => {} }
+    const revocation: PendingRevocation = { unconfirmedVms: new Set(vms), acknowledged: null, latestPrimary: null, formerPrimary: null, openOrder: null, endpoints: [], departures: [], lastCommitAgeMs: Infinity, uptimeMs: Infinity, hasMissingVms: false, finish: () => {} }
     this.#pending.set(attempt, revocation)
     await new Promise<void>(resolve => {
       const timer = setTimeout(resolve, waitMs)
