Take an endpoint without an entry for ended only if every VM has confirmed or its end is proven

Cause: a replica without an entry whose address refuses one VM, or that has left it without a response for 10 s, counted as ended for good, and the end of the primary's log at that time as the end of what it can hold. It went on receiving from the primary, and had commits acknowledged for VMs that reach it.

Change: such an end is presumed. It counts in a promotion only if every VM of the fleet has confirmed the revocation and none is missing: then every acknowledged position is known. Otherwise the replica is contacted again; if it responds, it is paused, its end and its log end are taken back, and else it counts as unfenced. Proven ends (a later start, another endpoint at the address, an announced shutdown) are as before. What other VMs report carries the difference; a report of an earlier build counts as proven.

Cost: with a VM that has not confirmed, a presumed end and a lost primary, the group waits until one of the three is back, or the VM has been missing for 15 minutes. With every VM, nothing changes.

--- a/packages/gateway/src/failover/departure-inquiries.ts
+++ b/packages/gateway/src/failover/departure-inquiries.ts
@@ -1,9 +1,9 @@
 import { describeError, type Clock, type Logger } from '@camphorpitch/wire'
 import { computeRank, type MemberState } from '../fleet/members.ts'
-import { recordGone, type Departure } from '../groups/departures.ts'
+import { recordGone, recordRunning, type Departure } from '../groups/departures.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import type { ControlConnections } from './control-connections.ts'
-import { isEnded } from './fence-departures.ts'
+import { isEnded, isRefused } from './fence-departures.ts'
 
 /** Time from a departure to the first inquiry. On a busy service a statement tells the end of the primary's log earlier. */
 const INQUIRY_DELAY_MS = 1_000
@@ -45,7 +45,7 @@
   async #runInquiry (group: ServiceGroup, inquiries: number): Promise<void> {
     const { clock, members } = this.#options
     if (computeRank(members, group.service, clock.readNow()) >= MAX_INQUIRING_VMS) return
-    const open = group.departures.filter(d => d.isGone !== true)
+    const open = group.departures.filter(d => d.isGone !== true || d.isPresumed === true)
     await Promise.all(open.map(async d => await this.#probeDeparted(group, d)))
     await this.#probeLogEnd(group)
     if (group.departures.some(d => d.logEnd === null) && inquiries < MAX_INQUIRIES) this.schedule(group, inquiries + 1)
@@ -72,9 +72,10 @@
     if (address === undefined) return
     try {
       await this.#options.control.run({ endpoint, service, address }, async c => await c.readStatus())
-      this.#options.logger.warn('endpoint without an entry still responds', { service, endpoint, address })
+      const isTakenBack = recordRunning(departures, departure, this.#options.clock.readNow())
+      this.#options.logger.warn('endpoint without an entry still responds', { service, endpoint, address, isTakenBack })
     } catch (error) {
-      if (isEnded(error)) recordGone(departures, departure, this.#options.clock.readNow())
+      if (isEnded(error)) recordGone(departures, departure, this.#options.clock.readNow(), isRefused(error))
     }
   }
 }
--- a/packages/gateway/src/failover/fence-departures.test.ts
+++ b/packages/gateway/src/failover/fence-departures.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { ConnectionLostError, EndpointRefusedError } from '../backend/errors.ts'
 import { SimulatedFleet, type SimulatedVm } from '../testing/simulated-vm.ts'
+import { recordGone } from '../groups/departures.ts'
 import { isEnded } from './fence-departures.ts'
 
 describe('promotion while a replica without an entry still runs', () => {
@@ -118,6 +119,40 @@
     expect(fleet.group.lost).to.deep.equal([])
   })
 
+  // Guards against a log end that a replica outgrows, after one VM's refused connection was taken for the replica's end (LOST).
+  it('loses no commit of a replica that has refused a connection and goes on receiving', async () => {
+    const [vm1, vm2] = await setUpLapse()
+    fleet.group.find('b').isDeaf = false
+    await fleet.advance(50)
+    recordGone(vm1.group.departures, vm1.group.departures[0]!, fleet.time.readNow(), true)
+    vm1.commit()
+    await fleet.advance(50)
+    expect(vm1.group.departures[0]!.logEnd, 'the end of the log is told after the refusal').not.to.equal(null)
+    fleet.group.find('b').isDeaf = true
+    vm2.commit()
+    await fleet.advance(50)
+    vm2.kill()
+    expect(await crashAndPromote(vm1)).to.equal(null)
+    expect(vm1.group.departures[0]).to.deep.include({ isGone: false, logEnd: null })
+    fleet.group.find('a').isRegistered = true
+    vm1.addEndpoints('a')
+    expect(await crashAndPromote(vm1)).to.equal('a')
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
+  it('remains possible if the replica still refuses connections', async () => {
+    const [vm1] = await setUpLapse()
+    fleet.group.find('b').isDeaf = false
+    await fleet.advance(50)
+    vm1.connector.refused.add('a')
+    recordGone(vm1.group.departures, vm1.group.departures[0]!, fleet.time.readNow(), true)
+    fleet.group.find('a').isRunning = false
+    vm1.commit()
+    await fleet.advance(50)
+    expect(await crashAndPromote(vm1)).to.equal('b')
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
   it('takes a replica for gone if nothing listens at its address or another endpoint does', () => {
     expect(isEnded(new ConnectionLostError('ECONNREFUSED', { props: { isRefused: true } }))).to.equal(true)
     expect(isEnded(new EndpointRefusedError('another id', { props: { code: 'misrouted' } }))).to.equal(true)
--- a/packages/gateway/src/failover/fence-departures.ts
+++ b/packages/gateway/src/failover/fence-departures.ts
@@ -1,7 +1,7 @@
 import { describeError, type LogPosition } from '@camphorpitch/wire'
 import type { EndpointStatus } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError, EndpointRefusedError } from '../backend/errors.ts'
-import { formatStart, LONG_MISSING_MS, recordGone, type ReportedDeparture } from '../groups/departures.ts'
+import { formatStart, LONG_MISSING_MS, recordGone, recordRunning, type ReportedDeparture } from '../groups/departures.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import { ensureNotReplaced } from './check-leadership.ts'
 import type { ControlCommand } from './control-connections.ts'
@@ -31,9 +31,12 @@
 /**
  * Pauses the replicas that have left the directory, at their last known addresses. One may still receive and have commits acknowledged,
  * for example while it does not reach the store.
+ *
+ * @param hasEveryVm whether every VM that may run has told what it knows to be acknowledged. Without that, a replica counts as ended only if
+ *   its end is proven: a VM that has not answered may reach it, and have commits acknowledged by it.
  */
-export async function fenceDepartures (attempt: Attempt): Promise<FencedDepartures> {
-  const fenced = await Promise.all([...attempt.departures].map(async ([, departure]) => await fenceDeparture(attempt, departure)))
+export async function fenceDepartures (attempt: Attempt, hasEveryVm: boolean): Promise<FencedDepartures> {
+  const fenced = await Promise.all([...attempt.departures].map(async ([, departure]) => await fenceDeparture(attempt, departure, hasEveryVm)))
   ensureNotReplaced(attempt, fenced.flatMap(({ departure, status }) => status === undefined ? [] : [{ entry: departure, status }]))
   return {
     departures: fenced.map(f => f.departure),
@@ -42,29 +45,47 @@
   }
 }
 
-async function fenceDeparture (attempt: Attempt, departure: ReportedDeparture): Promise<FencedDeparture> {
-  const { host, group, term } = attempt
-  const { endpoint, address, logEnd } = departure
-  if (departure.isGone === true || address === undefined) return { departure, isUnfenced: false }
+async function fenceDeparture (attempt: Attempt, departure: ReportedDeparture, hasEveryVm: boolean): Promise<FencedDeparture> {
+  const { term } = attempt
+  const { address } = departure
+  const isEndKnown = departure.isGone === true && (departure.isPresumed !== true || hasEveryVm)
+  if (isEndKnown || address === undefined) return { departure, isUnfenced: false }
   try {
     const status = await runWithRetries(attempt, departure, async c => await pauseReplica(c, term))
     if (status === null) return { departure, isUnfenced: true }
-    if (status.role === 'primary' || status.pausedForTerm < term) return { departure, isUnfenced: true, status }
-    return { departure: { ...departure, logEnd: computeRequiredEnd(departure) }, isUnfenced: false, status }
+    const running = takeBackEnd(attempt, departure)
+    if (status.role === 'primary' || status.pausedForTerm < term) return { departure: running, isUnfenced: true, status }
+    return { departure: { ...running, logEnd: computeRequiredEnd(running) }, isUnfenced: false, status }
   } catch (error) {
-    const isLongMissing = group.departures.some(d => formatStart(d) === formatStart(departure) && host.clock.readNow() - d.noticedAtMs >= LONG_MISSING_MS)
-    const isGone = isEnded(error) || departure.isDraining === true || isLongMissing
-    if (isGone) recordGone(group.departures, departure, host.clock.readNow())
-    host.logger.info('departed replica not paused', { service: group.service, endpoint, address, isGone, logEnd, reason: describeError(error) })
-    return { departure: { ...departure, isGone }, isUnfenced: !isGone }
+    return recordNotPaused(attempt, departure, hasEveryVm, error)
   }
 }
 
+/** Records whether a replica that could not be paused counts as ended. */
+function recordNotPaused ({ host, group }: Attempt, departure: ReportedDeparture, hasEveryVm: boolean, error: unknown): FencedDeparture {
+  const { endpoint, address, logEnd } = departure
+  const nowMs = host.clock.readNow()
+  const isLongMissing = group.departures.some(d => formatStart(d) === formatStart(departure) && nowMs - d.noticedAtMs >= LONG_MISSING_MS)
+  const isProven = isAddressReused(error) || departure.isDraining === true
+  const isGone = isProven || isRefused(error) || isLongMissing || departure.isGone === true
+  if (isGone) recordGone(group.departures, departure, nowMs, !isProven)
+  host.logger.info('departed replica not paused', { service: group.service, endpoint, address, isGone, isProven, hasEveryVm, logEnd, reason: describeError(error) })
+  return { departure: { ...departure, isGone, isPresumed: isGone && !isProven }, isUnfenced: !isProven && !(isGone && hasEveryVm) }
+}
+
+/** Takes back that a departed replica has ended, if it counted as ended, because it has responded. */
+function takeBackEnd ({ host, group }: Attempt, departure: ReportedDeparture): ReportedDeparture {
+  if (departure.isGone !== true) return departure
+  recordRunning(group.departures, departure, host.clock.readNow())
+  host.logger.warn('departed replica still runs, although it counted as ended', { service: group.service, endpoint: departure.endpoint, address: departure.address, logEnd: departure.logEnd })
+  return { ...departure, isGone: false, isPresumed: false, logEnd: null }
+}
+
 /** Lets departed replicas receive again. */
 export async function resumeDepartures (attempt: Attempt): Promise<void> {
   const { host, departures } = attempt
   await Promise.all([...departures.values()].map(async departure => {
-    if (departure.isGone === true) return
+    if (departure.isGone === true && departure.isPresumed !== true) return
     await runWithRetries(attempt, departure, async c => await resumeEndpoint(attempt, c))
       .catch((error: unknown) => {
         host.logger.info('departed replica not resumed', { endpoint: departure.endpoint, reason: describeError(error) })
@@ -72,9 +93,19 @@
   }))
 }
 
-/** Whether a failed connection shows that the endpoint no longer runs: nothing listens at its address, or another endpoint does. */
+/** Whether a failed connection tells that the endpoint no longer runs: its address refuses connections of this VM, or another endpoint listens there. */
 export function isEnded (error: unknown): boolean {
-  return (error instanceof ConnectionLostError && error.isRefused) || (error instanceof EndpointRefusedError && error.code === 'misrouted')
+  return isRefused(error) || isAddressReused(error)
+}
+
+/** Whether an address has refused a connection. That is this VM's view: others may reach an endpoint there. */
+export function isRefused (error: unknown): boolean {
+  return error instanceof ConnectionLostError && error.isRefused
+}
+
+/** Whether another endpoint listens at the address, which proves that the former one has ended. */
+function isAddressReused (error: unknown): boolean {
+  return error instanceof EndpointRefusedError && error.code === 'misrouted'
 }
 
 /**
--- a/packages/gateway/src/failover/promotion-attempt.ts
+++ b/packages/gateway/src/failover/promotion-attempt.ts
@@ -19,6 +19,8 @@
 export interface Revocation {
   /** Whether every VM that may be running has confirmed. */
   hasEveryVmConfirmed: boolean
+  /** Whether every VM of the fleet has confirmed, also those that are presumed stopped, and none is missing. */
+  hasEveryVm: boolean
   /**
    * Whether no acknowledged position can lie beyond `acknowledged`: every VM has confirmed, and a commit was sent and acknowledged
    * after a VM last stopped or restarted and forgot what it knew.
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -144,7 +144,7 @@
     }
     const silent = listSilent(members, nowMs)
     if (silent.length > 0) report.silent = silent
-    const departures = groups.list().flatMap(g => listUncovered(g.departures, g.state.acknowledged).map(({ endpoint, startedAtMs, address, isDraining, isGone }) => ({ service: g.service, endpoint, startedAtMs, address, isDraining, isGone })))
+    const departures = groups.list().flatMap(g => listUncovered(g.departures, g.state.acknowledged).map(({ endpoint, startedAtMs, address, isDraining, isGone, isPresumed }) => ({ service: g.service, endpoint, startedAtMs, address, isDraining, isGone, isPresumed })))
     if (departures.length > 0) report.departures = departures
     const evacuationReport = evacuations?.createReport()
     if (evacuationReport !== undefined) report.evacuations = evacuationReport
@@ -272,7 +272,8 @@
     const lastLossAtMs = Math.max(this.#losses.lastLossAtMs, finishedAtMs - revocation.uptimeMs)
     // A missing VM may run beside the primary, with commits acknowledged that no other VM knows of.
     const isEveryVmAsked = vms.length === members.members.size && listMissing(members, finishedAtMs).length === 0 && !revocation.hasMissingVms
-    return { ...revocation, hasEveryAcknowledgement: revocation.hasEveryVmConfirmed && isEveryVmAsked && sentAtMs - revocation.lastCommitAgeMs > lastLossAtMs }
+    const hasEveryVm = revocation.hasEveryVmConfirmed && isEveryVmAsked
+    return { ...revocation, hasEveryVm, hasEveryAcknowledgement: hasEveryVm && sentAtMs - revocation.lastCommitAgeMs > lastLossAtMs }
   }
 
   #handleOrder (vm: string, { service, order }: Extract<FleetMessage, { type: 'ordered' }>): void {
@@ -312,6 +313,6 @@
 function listEndpointStarts (group: ServiceGroup | undefined, primaryEndpoint: string): { endpoints: EndpointStart[], departures: ReportedDeparture[] } {
   const isSamePrimary = group?.state.primary?.endpoint === primaryEndpoint
   const endpoints = [...group?.pools.values() ?? []].map(({ entry: { endpoint, startedAtMs } }) => ({ endpoint, startedAtMs }))
-  const departures = (group?.departures ?? []).map(({ endpoint, startedAtMs, logEnd, address, isDraining, isGone }) => ({ endpoint, startedAtMs, logEnd: isSamePrimary ? logEnd : null, address, isDraining, isGone }))
+  const departures = (group?.departures ?? []).map(({ endpoint, startedAtMs, logEnd, address, isDraining, isGone, isPresumed }) => ({ endpoint, startedAtMs, logEnd: isSamePrimary ? logEnd : null, address, isDraining, isGone, isPresumed }))
   return { endpoints, departures }
 }
--- a/packages/gateway/src/groups/departures.ts
+++ b/packages/gateway/src/groups/departures.ts
@@ -26,6 +26,11 @@
   latestPosition?: LogPosition | null
   /** Whether it had announced its shutdown. */
   isDraining?: boolean
+  /**
+   * Whether this start counts as ended only because this VM, or one that told it, does not reach it: its address refuses connections, or it
+   * has been silent for long. Other VMs and the primary may reach it, so that it may go on receiving and having commits acknowledged.
+   */
+  isPresumed?: boolean
   /** Whether this start is known to have ended. Otherwise it may still run, receive and have commits acknowledged, although its entry has lapsed. */
   isGone?: boolean
 }
@@ -65,24 +70,52 @@
 export function removeDeparture (departures: Departure[], { endpoint, startedAtMs }: EndpointStart, nowMs: number): void {
   const index = departures.findIndex(d => d.endpoint === endpoint && d.startedAtMs === startedAtMs)
   if (index >= 0) departures.splice(index, 1)
-  for (const departure of departures) if (departure.endpoint === endpoint) updateGone(departure, nowMs)
+  for (const departure of departures) if (departure.endpoint === endpoint) updateGone(departure, nowMs, false)
 }
 
-/** Records that a start of an endpoint has ended. */
-export function recordGone (departures: readonly Departure[], start: EndpointStart, nowMs: number): void {
+/**
+ * Records that a start of an endpoint has ended.
+ *
+ * @param isPresumed whether only a VM that does not reach it says so
+ */
+export function recordGone (departures: readonly Departure[], start: EndpointStart, nowMs: number, isPresumed = false): void {
   const departure = departures.find(d => formatStart(d) === formatStart(start))
-  if (departure !== undefined) updateGone(departure, nowMs)
+  if (departure !== undefined) updateGone(departure, nowMs, isPresumed)
 }
 
-function updateGone (departure: Departure, nowMs: number): void {
-  if (departure.isGone === true) return
+function updateGone (departure: Departure, nowMs: number, isPresumed: boolean): void {
+  if (departure.isGone === true && (isPresumed || departure.isPresumed !== true)) return
   departure.isGone = true
+  departure.isPresumed = isPresumed
   departure.noticedAtMs = nowMs
 }
 
+/**
+ * Takes back that a start has ended, because the endpoint has responded: it may have received, and may go on receiving, beyond the log end
+ * that was told meanwhile.
+ *
+ * @returns whether it counted as ended
+ */
+export function recordRunning (departures: readonly Departure[], start: EndpointStart, nowMs: number): boolean {
+  const departure = departures.find(d => formatStart(d) === formatStart(start))
+  if (departure?.isGone !== true || departure.isPresumed !== true) return false
+  Object.assign(departure, { isGone: false, isPresumed: false, logEnd: null, noticedAtMs: nowMs })
+  return true
+}
+
 /** Merges what two VMs know of a departure; `reported` is of the VM that does not promote. */
 export function mergeDepartures (known: ReportedDeparture | undefined, reported: ReportedDeparture): ReportedDeparture {
-  return { ...reported, ...known, logEnd: known?.logEnd ?? reported.logEnd, address: known?.address ?? reported.address, isDraining: known?.isDraining === true || reported.isDraining === true, isGone: known?.isGone === true || reported.isGone === true }
+  const both = known === undefined ? [reported] : [known, reported]
+  const isGone = both.some(d => d.isGone === true)
+  return {
+    ...reported,
+    ...known,
+    logEnd: known?.logEnd ?? reported.logEnd,
+    address: known?.address ?? reported.address,
+    isDraining: both.some(d => d.isDraining === true),
+    isGone,
+    isPresumed: isGone && both.every(d => d.isGone !== true || d.isPresumed === true)
+  }
 }
 
 /**
--- a/packages/gateway/src/testing/simulated-group.ts
+++ b/packages/gateway/src/testing/simulated-group.ts
@@ -198,6 +198,8 @@
 export class SimulatedConnector extends EndpointConnector {
   /** Endpoints that the VM does not reach. */
   readonly unreachable = new Set<string>()
+  /** Endpoints whose addresses refuse connections of the VM. */
+  readonly refused = new Set<string>()
   /** Whether the VM has stopped. */
   isStopped = false
   /** Time from a command to its execution at the endpoint, and from there to the VM. */
@@ -218,14 +220,14 @@
       const [toEndpointMs, toVmMs] = this.drawDelays()
       await this.#time.waitOutside(toEndpointMs)
       const found = this.#group.endpoints.get(endpoint)
-      const isReached = found !== undefined && found.isRunning && !this.isStopped && !this.unreachable.has(endpoint)
+      const isReached = found !== undefined && found.isRunning && !this.isStopped && !this.unreachable.has(endpoint) && !this.refused.has(endpoint)
       if (isReached) command(found)
       const status = found?.readStatus()
       if (toVmMs > 0) await this.#time.waitOutside(toVmMs)
       if (this.#process.frozenUntilMs > this.#time.readNow()) await this.#time.waitWhileFrozen(this.#process)
       if (!isReached) {
         // Nothing listens at the address of an endpoint that has left.
-        const isRefused = found === undefined && !this.isStopped && !this.unreachable.has(endpoint)
+        const isRefused = (found === undefined || this.refused.has(endpoint)) && !this.isStopped && !this.unreachable.has(endpoint)
         throw new ConnectionLostError('endpoint does not respond', { props: { isRefused } })
       }
       return status!
