Count what sessions keep in the budget of client input

Cause: the budget counted a message until its statement had ended. The value or prepared statement that the session keeps of it was not counted, and nothing else bounds it.

Change: a session records the bytes of its values and prepared statements, with 200 bytes for each entry. A SET or PARSE that would go over the workspace's share of the full budget gets `busy`, which says that it was not run, and inside a transaction gives that up. Replacing, closing and everybody else's statements go on.

--- a/packages/gateway/src/sessions/client-session.test.ts
+++ b/packages/gateway/src/sessions/client-session.test.ts
@@ -382,6 +382,48 @@
   })
 })
 
+describe('values and prepared statements that sessions keep', () => {
+  const large = 'x'.repeat(1_048_576)
+  const set = (name: string, value = large): ClientStatement => ({ id: name, text: 'SET', type: 'setValue', name, value })
+
+  async function run (session: ClientSession, statement: ClientStatement): Promise<void> {
+    session.handleStatement(statement)
+    await waitForEventLoopTurn()
+  }
+
+  // Guards against peers that end the process with values that nothing bounds.
+  it('are refused as not run once they take too much memory, while replacing and dropping them goes on', async () => {
+    const { session, transport, budget } = await startSession()
+    for (let i = 0; i < 40; i++) await run(session, set(`name${i}`))
+    expect(transport.sent.filter(s => s === 'rows idle')).to.have.length(31)
+    expect(transport.sent.slice(31)).to.deep.equal(Array(9).fill('error busy idle'))
+    expect(budget.totalBytes).to.be.below(32 * 1_048_576)
+    await run(session, set('name0', 'small'))
+    await run(session, set('name40'))
+    expect(transport.sent.slice(40)).to.deep.equal(['rows idle', 'rows idle'])
+    session.handleClose()
+    expect(budget.totalBytes).to.equal(0)
+  })
+
+  it('give up the open transaction if they are refused, as the answer promises that nothing of it is kept', async () => {
+    const { session, transport } = await startSession()
+    for (let i = 0; i < 31; i++) await run(session, set(`name${i}`))
+    for (const s of [beginStatement, set('name31'), writeStatement]) await run(session, s)
+    expect(transport.sent.slice(31)).to.deep.equal(['rows open', 'error busy failed', 'error malformed failed'])
+    session.handleClose()
+  })
+
+  it('are counted as what is left of them when they are prepared again and closed', async () => {
+    const { session, budget } = await startSession()
+    const prepare = (shape: string): ClientStatement => ({ id: '1', text: 'PARSE', type: 'prepare', name: 'q', mode: 'read', shape })
+    for (const s of [prepare(large), prepare('short')]) await run(session, s)
+    expect(budget.totalBytes).to.be.within(1, 1_000)
+    await run(session, { id: '2', text: 'CLOSE', type: 'closeStatement', name: 'q' })
+    expect(budget.totalBytes).to.equal(0)
+    session.handleClose()
+  })
+})
+
 describe('client session at the end of the process', () => {
   it('refuses statements that have not begun, and waits for the one that runs', async () => {
     const { session, transport, executedIds, finish } = await startSession()
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -7,10 +7,10 @@
 import type { PinnedTransaction } from '../statements/pinned-transaction.ts'
 import { SessionAttempts } from '../statements/session-attempts.ts'
 import { authenticate, type Admission } from './authenticate.ts'
-import { createSessionState, decideLastResponse, decideStatement, type StatementPlan } from './decide-statement.ts'
+import { createSessionState, decideLastResponse, decideStatement, measureKeptGrowth, type StatementPlan } from './decide-statement.ts'
 import { SessionCloser } from './session-closer.ts'
 import type { SessionActivity, SessionEndCause, SessionEnding } from './session-end.ts'
-import type { InputHolder } from './input-budget.ts'
+import { createInputRefusal, type InputHolder } from './input-budget.ts'
 import type { SessionHost } from './session-host.ts'
 import { STARTUP_EXPECTED, STARTUP_TIMED_OUT, STARTUP_TIMEOUT_MS } from './startup-refusals.ts'
 import { readStatementId, StatementQueue, TOO_LARGE, type QueuedStatement, type RefusedMessage } from './statement-queue.ts'
@@ -96,7 +96,7 @@
   handleTooLarge = (): void => this.#enqueueStatement(TOO_LARGE)
 
   handleInput = (): void => {
-    if (this.#closer.isOpen) this.#queue.recordInput()
+    if (this.#closer.isOpen) this.#queue.recordInput(this.#sessionState.keptBytes)
   }
 
   /** Ends the session after the statements that it has taken, as its input that is not a whole message yet takes too much memory. */
@@ -295,7 +295,7 @@
     this.#queue.finishRunning()
     this.#lastActiveAtMs = this.#host.clock.readNow()
     if (!this.#closer.isOpen) return this.#transaction?.rollback()
-    this.#queue.recordInput()
+    this.#queue.recordInput(this.#sessionState.keptBytes)
     if (this.#pendingTransactionEnd !== null) this.#finishTransactionEnd(this.#pendingTransactionEnd)
     if (this.#queue.length > 0) return this.#runNextStatement()
     if (this.#isTerminating) return this.#close('clientTerminated')
@@ -325,6 +325,8 @@
     const refusal = this.#sessionState.transaction === 'idle' ? await this.#admitOperation(statement) : null
     if (!this.#closer.isOpen) return
     if (refusal !== null) return this.#sendResponse({ error: refusal, state: 'idle' })
+    const keptGrowth = measureKeptGrowth(this.#sessionState, statement)
+    if (keptGrowth > 0 && !this.#host.inputBudget.canHold(this, keptGrowth)) return this.#refuseMessage({ error: createInputRefusal(), endCause: null })
     this.#isAdmitted = true
     const plan = decideStatement(this.#sessionState, statement)
     await this.#runPlan(statement, plan)
@@ -434,18 +436,11 @@
 
   #createOperation (statement: ClientStatement, preparedName: string | null): Operation {
     const { sessionValues, preparedStatements } = this.#sessionState
-    if (this.#route === null || this.#workspace === null) throw new Error('cannot create an operation: the session has no workspace or route yet')
-    return {
-      statement,
-      requiredState: { session: this.id, sessionValues, preparedStatements },
-      preparedName,
-      workspace: this.#workspace,
-      route: this.#route,
-      allowedRegions: this.#allowedRegions,
-      sessionPosition: this.#lastWritePosition,
-      attempts: this.#attempts,
-      receivedAtMs: this.#lastActiveAtMs
-    }
+    const [route, workspace] = [this.#route, this.#workspace]
+    if (route === null || workspace === null) throw new Error('cannot create an operation: the session has no workspace or route yet')
+    const requiredState = { session: this.id, sessionValues, preparedStatements }
+    const limits = { allowedRegions: this.#allowedRegions, sessionPosition: this.#lastWritePosition, receivedAtMs: this.#lastActiveAtMs }
+    return { statement, requiredState, preparedName, workspace, route, attempts: this.#attempts, ...limits }
   }
 
   #sendOutcome (operation: Operation, outcome: Outcome, state: ClientResponse['state'], isCommit: boolean): void {
--- a/packages/gateway/src/sessions/decide-statement.ts
+++ b/packages/gateway/src/sessions/decide-statement.ts
@@ -12,6 +12,8 @@
   sessionValues: ReadonlyMap<string, string>
   /** As `sessionValues`. */
   preparedStatements: ReadonlyMap<string, PreparedStatement>
+  /** Memory that both take, in bytes. */
+  keptBytes: number
 }
 
 /** What the session does with a statement. */
@@ -27,7 +29,7 @@
   | { type: 'endFailed', isCommit: boolean }
 
 export function createSessionState (): SessionState {
-  return { transaction: 'idle', isReadOnly: false, sessionValues: new Map(), preparedStatements: new Map() }
+  return { transaction: 'idle', isReadOnly: false, sessionValues: new Map(), preparedStatements: new Map(), keptBytes: 0 }
 }
 
 function createErrorPlan (code: ResponseError['code'], text: string): StatementPlan {
@@ -76,8 +78,25 @@
   return prepared.mode === 'write' ? decideWrite(state, name) : { type: 'run', isWrite: false, preparedName: name }
 }
 
+/** Memory that a value or a prepared statement takes beside its text, in bytes: two of a session's maps have an entry for it. */
+const ENTRY_BYTES = 200
+
+/**
+ * Measures how much more memory the session keeps after a statement, in bytes; negative if it keeps less.
+ *
+ * @example measureKeptGrowth(createSessionState(), { id: '1', text: 'SET app x', type: 'setValue', name: 'app', value: 'x' }) // 204
+ */
+export function measureKeptGrowth ({ transaction, sessionValues, preparedStatements }: SessionState, statement: ClientStatement): number {
+  if (transaction === 'failed') return 0
+  const measure = (name: string, text: string | undefined): number => text === undefined ? 0 : ENTRY_BYTES + name.length + text.length
+  if (statement.type === 'setValue') return measure(statement.name, statement.value) - measure(statement.name, sessionValues.get(statement.name))
+  if (statement.type === 'prepare') return measure(statement.name, statement.shape) - measure(statement.name, preparedStatements.get(statement.name)?.shape)
+  return statement.type === 'closeStatement' ? -measure(statement.name, preparedStatements.get(statement.name)?.shape) : 0
+}
+
 function applySessionStatement (state: SessionState, statement: ClientStatement): StatementPlan {
   const { sessionValues, preparedStatements } = state
+  state.keptBytes += measureKeptGrowth(state, statement)
   if (statement.type === 'setValue') state.sessionValues = new Map(sessionValues).set(statement.name, statement.value)
   else if (statement.type === 'prepare') {
     const { name, mode, shape } = statement
--- a/packages/gateway/src/sessions/input-budget.ts
+++ b/packages/gateway/src/sessions/input-budget.ts
@@ -23,6 +23,8 @@
   incompleteBytes: number
   /** Messages that wait or run. */
   messageBytes: number
+  /** Values and prepared statements that the session keeps until it ends; 0 by default. */
+  keptBytes?: number
 }
 
 export interface InputBudgetOptions {
@@ -40,7 +42,7 @@
 export type InputRefusal = 'message' | 'session'
 
 /**
- * Bounds the memory that clients' input takes while it waits: incomplete messages, and statements that have not ended.
+ * Bounds the memory that clients' input takes: incomplete messages, statements that have not ended, and what sessions keep of them.
  *
  * Each workspace has an equal share of the budget, and connections without an accepted session have a smaller one together. Who holds more
  * than its share while the whole is used up is refused, so that others go on.
@@ -53,7 +55,7 @@
   readonly #options: InputBudgetOptions
   readonly #maxBytes: number
   readonly #maxUnauthenticatedBytes: number
-  readonly #held = new Map<InputHolder, HeldInput & { workspace: string | null }>()
+  readonly #held = new Map<InputHolder, Required<HeldInput> & { workspace: string | null }>()
   readonly #bytesByWorkspace = new Map<string | null, number>()
   #totalBytes = 0
   #refusedSinceLog = 0
@@ -85,10 +87,10 @@
     this.#set(holder, held)
     if (!this.#isExceeded(holder.workspace, 0)) return
     const largest = this.#pickLargest(holder.workspace)
-    const { incompleteBytes = 0, messageBytes = 0 } = this.#held.get(largest) ?? {}
+    const { incompleteBytes = 0, messageBytes = 0, keptBytes = 0 } = this.#held.get(largest) ?? {}
     if (incompleteBytes === 0) return
     this.#recordRefused('session', largest, incompleteBytes)
-    this.#set(largest, { incompleteBytes: 0, messageBytes })
+    this.#set(largest, { incompleteBytes: 0, messageBytes, keptBytes })
     largest.refuseInput(createInputRefusal())
   }
 
@@ -96,14 +98,14 @@
     this.#set(holder, { incompleteBytes: 0, messageBytes: 0 })
   }
 
-  #set (holder: InputHolder, held: HeldInput): void {
+  #set (holder: InputHolder, { incompleteBytes, messageBytes, keptBytes = 0 }: HeldInput): void {
     const { workspace } = holder
     const before = this.#held.get(holder)
-    if (before !== undefined) this.#add(before.workspace, -before.incompleteBytes - before.messageBytes)
+    if (before !== undefined) this.#add(before.workspace, -before.incompleteBytes - before.messageBytes - before.keptBytes)
     this.#held.delete(holder)
-    const bytes = held.incompleteBytes + held.messageBytes
+    const bytes = incompleteBytes + messageBytes + keptBytes
     if (bytes <= 0) return
-    this.#held.set(holder, { ...held, workspace })
+    this.#held.set(holder, { incompleteBytes, messageBytes, keptBytes, workspace })
     this.#add(workspace, bytes)
   }
 
--- a/packages/gateway/src/sessions/statement-queue.ts
+++ b/packages/gateway/src/sessions/statement-queue.ts
@@ -104,12 +104,16 @@
     return { unanswered: pending.length + this.#droppedCount, unansweredIds: ids.slice(0, MAX_LOGGED_IDS) }
   }
 
-  /** Records in the budget what the session holds. */
-  recordInput (): void {
+  /**
+   * Records in the budget what the session holds.
+   *
+   * @param keptBytes what it keeps until it ends
+   */
+  recordInput (keptBytes: number): void {
     const { holder, transport, budget } = this.#options
     const { incompleteBytes } = transport.readInputState()
     const runningBytes = this.#running === null ? 0 : measureBytes(this.#running)
-    budget.record(holder, { incompleteBytes, messageBytes: this.#waitingBytes + runningBytes })
+    budget.record(holder, { incompleteBytes, messageBytes: this.#waitingBytes + runningBytes, keptBytes })
   }
 }
 
