Run a session's next statement once its client has taken the responses before

Cause: a session ran up to 256 queued statements whether or not its client took the responses, which piled up in the connection's buffer. Only the reading of further input waited for the client.

Change: the next statement waits until the connection's buffer is below its mark, so that a session holds one response beyond it. The idle time of its transaction runs meanwhile, so that the slot at the endpoint is not held for longer. What waits counts in the budget of the clients' memory; the session that holds most is ended if its workspace goes over its share (`outputRefused`). A VM that stops refuses the statements of such a session at once.

The three new tests of client-session.test.ts have no counterpart on the code before, whose sessions run all statements.

Not bounded yet: the rows of a response while the endpoint sends them, buffers to peers and to scrapers.

--- a/packages/gateway/src/clients/client-listener.ts
+++ b/packages/gateway/src/clients/client-listener.ts
@@ -19,6 +19,13 @@
   sinceLastByteMs: number | null
 }
 
+/** Responses that a client connection has been given and the client has not taken. */
+export interface OutputState {
+  waitingBytes: number
+  /** Whether so much waits that no more should be added; `ClientEvents.handleDrain` tells when it has been taken. */
+  isFull: boolean
+}
+
 /** The gateway's side of one client connection. */
 export abstract class ClientTransport {
   /** Tells the client that its session is accepted. */
@@ -43,6 +50,7 @@
   /** Ends the connection at once; responses that the client has not taken are lost. */
   abstract destroy (): void
   abstract readInputState (): InputState
+  abstract readOutputState (): OutputState
 }
 
 /** Handlers for what a client does on its connection; they are called in the order of the events. */
@@ -54,6 +62,8 @@
   handleMalformed: (reason: string) => void
   /** Handles that input has been received, after the messages in it. */
   handleInput: () => void
+  /** Handles that the client has taken its responses, after they were full. */
+  handleDrain: () => void
   /** Handles a message above the maximum size, after which no further message is read. */
   handleTooLarge: () => void
   /** Handles the client's message that ends the session. */
--- a/packages/gateway/src/sessions/authenticate.ts
+++ b/packages/gateway/src/sessions/authenticate.ts
@@ -22,3 +22,10 @@
   if (route.isPublic) return { route, workspace: ANONYMOUS_WORKSPACE, allowedRegions }
   return { error: { code: 'noAuth', text: 'unknown key' } }
 }
+
+/** Authenticates a session that has been accepted. Its key must still belong to the workspace that it was accepted for. */
+export function authenticateAgain (configuration: Configuration, database: string, key: string, workspace: string | null): Admission {
+  const admission = authenticate(configuration, database, key)
+  if ('error' in admission || admission.workspace === workspace) return admission
+  return { error: { code: 'noAuth', text: 'the key belongs to another workspace now' } }
+}
--- a/packages/gateway/src/sessions/client-session.test.ts
+++ b/packages/gateway/src/sessions/client-session.test.ts
@@ -3,7 +3,7 @@
 import { createLogger } from '@camphorpitch/wire'
 import { expect } from 'chai'
 import type { ResponseError, ClientStatement } from '../backend/statement.ts'
-import { ClientTransport, type ClientResponse, type InputState } from '../clients/client-listener.ts'
+import { ClientTransport, type ClientResponse, type InputState, type OutputState } from '../clients/client-listener.ts'
 import type { Configuration } from '../configuration/configuration.ts'
 import type { Operation, Outcome } from '../statements/operation.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
@@ -40,6 +40,8 @@
   override close (): void { this.sent.push('close') }
   override destroy (): void { this.sent.push('destroy') }
   override readInputState (): InputState { return this.input }
+  output: OutputState = { waitingBytes: 0, isFull: false }
+  override readOutputState (): OutputState { return this.output }
 }
 
 function createHost (run: (operation: Operation) => Promise<Outcome>): SessionHost & { ends: SessionEnd[] } {
@@ -424,6 +426,54 @@
   })
 })
 
+describe('a client that does not take its responses', () => {
+  const isFull = { waitingBytes: 100_000, isFull: true }
+  const readAt = (id: string): ClientStatement => ({ ...readStatement, id })
+
+  // Guards against peers that end the process with responses that pile up.
+  it('has its next statement run once it has taken them', async () => {
+    const { session, transport, executedIds, finish } = await startSession()
+    for (const id of ['1', '2', '3']) session.handleStatement(readAt(id))
+    await waitForEventLoopTurn()
+    transport.output = isFull
+    await finish()
+    expect(executedIds).to.deep.equal(['1'])
+    transport.output = { waitingBytes: 0, isFull: false }
+    session.handleDrain()
+    await waitForEventLoopTurn()
+    expect(executedIds).to.deep.equal(['1', '2'])
+    await finish()
+    await finish()
+    expect(transport.sent).to.deep.equal(['rows idle', 'rows idle', 'rows idle'])
+    session.handleClose()
+  })
+
+  it('has its other statements refused at once when the VM stops', async () => {
+    const { session, transport, executedIds, finish } = await startSession()
+    for (const id of ['1', '2']) session.handleStatement(readAt(id))
+    await waitForEventLoopTurn()
+    transport.output = isFull
+    await finish()
+    session.stopAdmission(ending)
+    await waitForEventLoopTurn()
+    expect(executedIds).to.deep.equal(['1'])
+    expect(transport.sent.slice(0, 2)).to.deep.equal(['rows idle', 'error busy idle'])
+    session.handleClose()
+  })
+
+  it('is ended if it holds most of the memory for clients, and that is counted by its cause', async () => {
+    const { session, transport, ends, budget, finish } = await startSession()
+    session.handleStatement(readAt('1'))
+    await waitForEventLoopTurn()
+    transport.output = { waitingBytes: 33 * 1_048_576, isFull: true }
+    await finish()
+    expect(transport.sent).to.deep.equal(['rows idle', 'destroy'])
+    expect(budget.totalBytes).to.equal(0)
+    session.handleClose()
+    expect(ends[0]?.cause).to.equal('outputRefused')
+  })
+})
+
 describe('client session at the end of the process', () => {
   it('refuses statements that have not begun, and waits for the one that runs', async () => {
     const { session, transport, executedIds, finish } = await startSession()
--- a/packages/gateway/src/sessions/client-session.ts
+++ b/packages/gateway/src/sessions/client-session.ts
@@ -6,7 +6,7 @@
 import { createRetryRefusal, type Operation, type Outcome } from '../statements/operation.ts'
 import type { PinnedTransaction } from '../statements/pinned-transaction.ts'
 import { SessionAttempts } from '../statements/session-attempts.ts'
-import { authenticate, type Admission } from './authenticate.ts'
+import { authenticate, authenticateAgain } from './authenticate.ts'
 import { createSessionState, decideLastResponse, decideStatement, measureKeptGrowth, type StatementPlan } from './decide-statement.ts'
 import { SessionCloser } from './session-closer.ts'
 import type { SessionActivity, SessionEndCause, SessionEnding } from './session-end.ts'
@@ -108,6 +108,17 @@
     this.#close('inputRefused')
   }
 
+  refuseOutput = (): void => {
+    this.#endCause ??= 'outputRefused'
+    this.#closer.destroy()
+  }
+
+  handleDrain = (): void => {
+    if (!this.#closer.isOpen) return
+    this.#queue.recordInput(this.#sessionState.keptBytes)
+    this.#runNextStatement()
+  }
+
   handleTerminate = (): void => {
     this.#isTerminating = true
     if (!this.#hasStatements) this.#close('clientTerminated')
@@ -128,14 +139,9 @@
   recordEnd (cause: SessionEndCause): void {
     if (this.#isEndRecorded) return
     this.#isEndRecorded = true
-    this.#host.recordSessionEnd({
-      session: this.id,
-      cause: this.#endCause ?? cause,
-      version: this.#host.readConfiguration()?.version,
-      answered: this.#answeredCount,
-      ...this.#queue.describeUnanswered(this.#isAnswered),
-      input: this.#transport.readInputState()
-    })
+    const unanswered = this.#queue.describeUnanswered(this.#isAnswered)
+    const [version, input] = [this.#host.readConfiguration()?.version, this.#transport.readInputState()]
+    this.#host.recordSessionEnd({ session: this.id, cause: this.#endCause ?? cause, version, answered: this.#answeredCount, ...unanswered, input })
   }
 
   get activity (): SessionActivity {
@@ -152,8 +158,7 @@
 
   /** Whether a statement is running or queued, a transaction is open, or the client waits for its session to be accepted. */
   get isBusy (): boolean {
-    const { activity } = this
-    return activity === 'busy' || activity === 'inTransaction'
+    return ['busy', 'inTransaction'].includes(this.activity)
   }
 
   /** Time since the last statement began or ended, in milliseconds. */
@@ -182,6 +187,7 @@
     this.refuseStartup(ending)
     this.end(ending)
     this.endTransaction(ending.error.text)
+    this.#runNextStatement()
     if (this.#hasStatements || this.#sessionState.transaction === 'idle') return
     this.#sessionState.transaction = 'idle'
     this.#tellClient({ code: 'aborted', text: this.#transactionLossReason ?? 'the transaction had failed' })
@@ -205,7 +211,7 @@
   /** Rolls back an open transaction, after its running statement if there is one. The client gets `reason` with its next statement. */
   endTransaction (reason: string): void {
     if (this.#sessionState.transaction !== 'open' || this.#transactionLossReason !== null) return
-    if (this.#hasStatements) {
+    if (this.#queue.running !== null) {
       this.#pendingTransactionEnd = reason
       return
     }
@@ -216,7 +222,7 @@
   /** Applies a new configuration: ends the session when its key or database is no longer valid. */
   applyConfiguration (configuration: Configuration): void {
     if (this.#workspace === null) return
-    const admission = this.#authenticate(configuration)
+    const admission = authenticateAgain(configuration, this.#database, this.#key, this.#workspace)
     if ('error' in admission) return this.end({ cause: 'configuration', error: admission.error, computeTimeoutMs: () => CLOSE_TIMEOUT_MS })
     if (this.#ending?.cause === 'configuration') this.#withdrawEnding()
   }
@@ -249,7 +255,7 @@
     if (this.#closer.isTold) return this.#refuseCrossing(queued)
     if (!this.#isStartupReceived) return this.#refuseUnstarted(STARTUP_EXPECTED)
     this.#queue.add(queued)
-    if (this.#workspace !== null) this.#runNextStatement()
+    this.#runNextStatement()
   }
 
   /** Ends a connection whose client has not begun a session. */
@@ -268,8 +274,13 @@
     if ('error' in queued && queued.endCause !== null) this.#close(queued.endCause)
   }
 
+  /** Whether statements wait for the client to take its responses. Once the session may admit none, they are refused instead. */
+  get #isBlocked (): boolean {
+    return !this.#isAdmissionStopped && this.#transport.readOutputState().isFull
+  }
+
   #runNextStatement (): void {
-    if (this.#queue.running !== null) return
+    if (this.#workspace === null || this.#queue.running !== null || this.#isBlocked) return
     const queued = this.#queue.beginNext()
     if (queued === undefined) return
     this.#isAdmitted = false
@@ -297,9 +308,13 @@
     if (!this.#closer.isOpen) return this.#transaction?.rollback()
     this.#queue.recordInput(this.#sessionState.keptBytes)
     if (this.#pendingTransactionEnd !== null) this.#finishTransactionEnd(this.#pendingTransactionEnd)
-    if (this.#queue.length > 0) return this.#runNextStatement()
+    if (this.#queue.length > 0) return this.#isBlocked ? this.#startTransactionIdleTimer() : this.#runNextStatement()
     if (this.#isTerminating) return this.#close('clientTerminated')
     if (this.#ending !== null && this.#sessionState.transaction === 'idle') return this.#tellClient(this.#ending.error)
+    this.#startTransactionIdleTimer()
+  }
+
+  #startTransactionIdleTimer (): void {
     if (this.#transaction !== null) this.#transactionIdleTimer = setTimeout(() => this.#abandonTransaction('the transaction was idle for too long'), this.#host.readTransactionIdleTimeoutMs())
   }
 
@@ -337,7 +352,7 @@
     if (this.#isAdmissionStopped && this.#ending !== null) return this.#ending.error
     const configuration = this.#host.readConfiguration()
     if (configuration === null) return { code: 'busy', text: 'no configuration yet; retry after 1000 ms' }
-    const admission = this.#authenticate(configuration)
+    const admission = authenticateAgain(configuration, this.#database, this.#key, this.#workspace)
     if ('error' in admission) {
       this.#host.logger.info('operation refused because its key or database is not valid', { id: statement.id, session: this.id, version: configuration.version, ...admission.error })
       return admission.error
@@ -348,12 +363,6 @@
     return isOperation ? await this.#host.admitOperation(statement.id, admission.workspace, admission.route.objectiveMs * MAX_QUOTA_WAIT_FRACTION) : null
   }
 
-  #authenticate (configuration: Configuration): Admission {
-    const admission = authenticate(configuration, this.#database, this.#key)
-    if ('error' in admission || admission.workspace === this.#workspace) return admission
-    return { error: { code: 'noAuth', text: 'the key belongs to another workspace now' } }
-  }
-
   async #runPlan (statement: ClientStatement, plan: StatementPlan): Promise<void> {
     const state = this.#sessionState
     switch (plan.type) {
--- a/packages/gateway/src/sessions/input-budget.ts
+++ b/packages/gateway/src/sessions/input-budget.ts
@@ -8,13 +8,15 @@
 const RETRY_AFTER_MS = 500
 const LOG_INTERVAL_MS = 1_000
 
-/** A session whose input takes memory of the process. */
+/** A session whose input and responses take memory of the process. */
 export interface InputHolder {
   readonly id: string
   /** `null` before the session is accepted. */
   readonly workspace: string | null
   /** Ends the session because of its input that is not a whole message yet, and drops that. */
   refuseInput: (error: ResponseError) => void
+  /** Ends the session at once because of the responses that its client does not take, and drops those. */
+  refuseOutput: () => void
 }
 
 /** What a session holds, in bytes. */
@@ -25,6 +27,8 @@
   messageBytes: number
   /** Values and prepared statements that the session keeps until it ends; 0 by default. */
   keptBytes?: number
+  /** Responses that its client has not taken; 0 by default. */
+  outputBytes?: number
 }
 
 export interface InputBudgetOptions {
@@ -38,11 +42,12 @@
   recordRefused?: (reason: InputRefusal) => void
 }
 
-/** `message`: a whole message was not taken; `session`: the connection was ended. */
-export type InputRefusal = 'message' | 'session'
+/** `message`: a whole message was not taken; `session`: the connection was ended for its input; `output`: it was ended for responses that were not taken. */
+export type InputRefusal = 'message' | 'session' | 'output'
 
 /**
- * Bounds the memory that clients' input takes: incomplete messages, statements that have not ended, and what sessions keep of them.
+ * Bounds the memory that clients take: incomplete messages, statements that have not ended, what sessions keep of them, and responses that
+ * clients do not take.
  *
  * Each workspace has an equal share of the budget, and connections without an accepted session have a smaller one together. Who holds more
  * than its share while the whole is used up is refused, so that others go on.
@@ -80,32 +85,34 @@
   }
 
   /**
-   * Records what a session holds now. If that is too much, ends the session with most incomplete input of its workspace, or of those not
-   * accepted.
+   * Records what a session holds now. If that is too much, ends the session of its workspace, or of those not accepted, with most input that
+   * is incomplete and responses that were not taken.
    */
   record (holder: InputHolder, held: HeldInput): void {
     this.#set(holder, held)
     if (!this.#isExceeded(holder.workspace, 0)) return
     const largest = this.#pickLargest(holder.workspace)
-    const { incompleteBytes = 0, messageBytes = 0, keptBytes = 0 } = this.#held.get(largest) ?? {}
-    if (incompleteBytes === 0) return
-    this.#recordRefused('session', largest, incompleteBytes)
-    this.#set(largest, { incompleteBytes: 0, messageBytes, keptBytes })
-    largest.refuseInput(createInputRefusal())
+    const { incompleteBytes = 0, outputBytes = 0, messageBytes = 0, keptBytes = 0 } = this.#held.get(largest) ?? {}
+    if (incompleteBytes + outputBytes === 0) return
+    const isForOutput = outputBytes > incompleteBytes
+    this.#recordRefused(isForOutput ? 'output' : 'session', largest, isForOutput ? outputBytes : incompleteBytes)
+    this.#set(largest, { incompleteBytes: 0, messageBytes, keptBytes, outputBytes: 0 })
+    if (isForOutput) largest.refuseOutput()
+    else largest.refuseInput(createInputRefusal())
   }
 
   remove (holder: InputHolder): void {
     this.#set(holder, { incompleteBytes: 0, messageBytes: 0 })
   }
 
-  #set (holder: InputHolder, { incompleteBytes, messageBytes, keptBytes = 0 }: HeldInput): void {
+  #set (holder: InputHolder, { incompleteBytes, messageBytes, keptBytes = 0, outputBytes = 0 }: HeldInput): void {
     const { workspace } = holder
     const before = this.#held.get(holder)
-    if (before !== undefined) this.#add(before.workspace, -before.incompleteBytes - before.messageBytes - before.keptBytes)
+    if (before !== undefined) this.#add(before.workspace, -before.incompleteBytes - before.messageBytes - before.keptBytes - before.outputBytes)
     this.#held.delete(holder)
-    const bytes = incompleteBytes + messageBytes + keptBytes
+    const bytes = incompleteBytes + messageBytes + keptBytes + outputBytes
     if (bytes <= 0) return
-    this.#held.set(holder, { incompleteBytes, messageBytes, keptBytes, workspace })
+    this.#held.set(holder, { incompleteBytes, messageBytes, keptBytes, outputBytes, workspace })
     this.#add(workspace, bytes)
   }
 
@@ -125,7 +132,8 @@
 
   #pickLargest (workspace: string | null): InputHolder {
     const holders = [...this.#held].filter(([, h]) => h.workspace === workspace)
-    return holders.reduce((largest, h) => h[1].incompleteBytes > largest[1].incompleteBytes ? h : largest)[0]
+    const measure = ([, held]: typeof holders[number]): number => held.incompleteBytes + held.outputBytes
+    return holders.reduce((largest, h) => measure(h) > measure(largest) ? h : largest)[0]
   }
 
   #recordRefused (reason: InputRefusal, { id, workspace }: InputHolder, bytes: number): void {
--- a/packages/gateway/src/sessions/session-end.ts
+++ b/packages/gateway/src/sessions/session-end.ts
@@ -16,6 +16,8 @@
   | 'notStarted'
   /** Clients' input took too much memory, and this session held most. */
   | 'inputRefused'
+  /** Responses that clients do not take took too much memory, and this session had most. */
+  | 'outputRefused'
   | 'internalError'
   | 'processExit'
 
--- a/packages/gateway/src/statements/refused-session-state.test.ts
+++ b/packages/gateway/src/statements/refused-session-state.test.ts
@@ -50,6 +50,7 @@
   override discardInput (): void {}
   override close (): void {}
   override destroy (): void {}
+  override readOutputState (): { waitingBytes: number, isFull: boolean } { return { waitingBytes: 0, isFull: false } }
   override readInputState (): { incompleteBytes: number, sinceLastByteMs: null } { return { incompleteBytes: 0, sinceLastByteMs: null } }
 }
 
