--- a/packages/gateway/src/failover/fence-departures.ts
+++ b/packages/gateway/src/failover/fence-departures.ts
@@ -53,7 +53,7 @@
   try {
     const status = await runWithRetries(attempt, departure, async c => await pauseReplica(c, term))
     if (status === null) return { departure, isUnfenced: true }
-    const running = takeBackEnd(attempt, departure)
+    const running = withdrawEnd(attempt, departure)
     if (status.role === 'primary' || status.pausedForTerm < term) return { departure: running, isUnfenced: true, status }
     return { departure: { ...running, logEnd: computeRequiredEnd(running) }, isUnfenced: false, status }
   } catch (error) {
@@ -74,7 +74,7 @@
 }
 
 /** Takes back that a departed replica has ended, if it counted as ended, because it has responded. */
-function takeBackEnd ({ host, group }: Attempt, departure: ReportedDeparture): ReportedDeparture {
+function withdrawEnd ({ host, group }: Attempt, departure: ReportedDeparture): ReportedDeparture {
   if (departure.isGone !== true) return departure
   recordRunning(group.departures, departure, host.clock.readNow())
   host.logger.warn('departed replica still runs, although it counted as ended', { service: group.service, endpoint: departure.endpoint, address: departure.address, logEnd: departure.logEnd })
