Keep the starts of a service's endpoints on record, for VMs that start later

Callers lost acknowledged commits (LOST): VMs that start while a replica has no entry promote another one without the commits that only that replica and the lost primary had.

Cause: a promotion counts the replicas that its VM knows, and that the other VMs tell. Right after a start these are the registered ones. A replica that has lost the store loses its entry after three ping intervals and goes on receiving; nothing outside of the memory of VMs told that it exists.

Now an object of the store has, for each service, the starts whose logs may be needed. A start is recorded when it registers, before its entry can lapse, and forgotten once its end is proven and another log covers it. A promotion reads the record, and counts what is not registered as a departure.

--- a/packages/gateway/src/app.ts
+++ b/packages/gateway/src/app.ts
@@ -31,6 +31,7 @@
 import { DepartureInquiries } from './failover/departure-inquiries.ts'
 import { FailoverWatch } from './failover/failover-watch.ts'
 import type { PromotionHost } from './failover/promotion-attempt.ts'
+import { StartRecord, type StartRecordOptions } from './failover/start-record.ts'
 import { LeadershipVerifier } from './failover/verify-leadership.ts'
 import { Fleet } from './fleet/fleet.ts'
 import { FleetMessageHandler, type EndpointExchange } from './fleet/fleet-message-handler.ts'
@@ -207,7 +208,7 @@
   const members = createMemberState(self)
   const controlConnections = new ControlConnections(connector)
   const leadershipVerifier = new LeadershipVerifier({ clock, logger, control: controlConnections })
-  const departureInquiries = new DepartureInquiries({ clock, logger, control: controlConnections, members })
+  const { startRecord, ...startHandlers } = createStartRecord({ store, clock, logger, control: controlConnections, members })
   const directory = createDirectory()
   const recordOpened = (service: string): void => metrics.connectionsOpened.inc({ service })
   const recordRefused: GroupTableOptions['recordRefused'] = (service, reason) => metrics.waitRefusals.inc({ service, reason })
@@ -216,7 +217,7 @@
   const servingVms = new ServingVms({ clock, members, configuration, regions: settings.regions })
   const evacuations = new Evacuations({ clock, logger, applyMs: settings.evacuation?.applyMs, gauge: metrics.evacuatedDomains })
   const warmup = createWarmupLimits(settings, { store, clock, logger, members, configuration, directory, metrics, findGroups: () => groups })
-  const groups: GroupTable = new GroupTable({ evacuations, connector, clock, logger, configuration, members, servingVms, recordOpened, recordRefused, checkRole, warmup, scheduling: settings.scheduling === true ? {} : undefined, handleDeparture: group => departureInquiries.schedule(group), handlePrimaryDoubt })
+  const groups: GroupTable = new GroupTable({ evacuations, connector, clock, logger, configuration, members, servingVms, recordOpened, recordRefused, checkRole, warmup, scheduling: settings.scheduling === true ? {} : undefined, ...startHandlers, handlePrimaryDoubt })
   const counting = new CountingVms(members)
   const quotas = new QuotaCounter({ settings, clock, configuration, members, counting, uptimeMs })
   const burstRecord = new BurstRecord({ store, clock, logger, quotas })
@@ -228,7 +229,7 @@
   const fleet = new Fleet({ state: members, network, store, clock, logger, ...fleetMessageHandler.createHandlers() })
   const endpointsWatch = createEndpointsWatch({ store, logger, clock, directory, groups })
   const sources = { settings, adapters, logger, clock, members, directory, endpointsWatch, fleet }
-  const { host, claimInquiries } = createPromotionHost({ ...sources, self, fleetMessageHandler, control: controlConnections })
+  const { host, claimInquiries } = createPromotionHost({ ...sources, self, fleetMessageHandler, control: controlConnections, startRecord })
   const recordResult = (service: string, result: string): void => metrics.promotions.inc({ service, result })
   const failover = new FailoverWatch({
     clock,
@@ -258,16 +259,30 @@
   return { ...sources, metrics, configuration, groups, evacuations, ...limits, leadershipVerifier, network, failover, forwarder, leaving }
 }
 
+type StartHandlers = 'handleStart' | 'handleDeparture'
+
+/** Creates what keeps the starts and departures of endpoints for later promotions, with the handlers that tell it of them. */
+function createStartRecord (sources: StartRecordOptions): { startRecord: StartRecord } & Pick<Required<GroupTableOptions>, StartHandlers> {
+  const departureInquiries = new DepartureInquiries(sources)
+  const startRecord = new StartRecord(sources)
+  const handleDeparture = (group: ServiceGroup): void => {
+    departureInquiries.schedule(group)
+    startRecord.schedule(group)
+  }
+  return { startRecord, handleStart: group => startRecord.schedule(group), handleDeparture }
+}
+
 type PromotionComponents = 'settings' | 'adapters' | 'logger' | 'clock' | 'members' | 'directory' | 'endpointsWatch' | 'fleet'
 interface PromotionSources extends Pick<GatewayComponents, PromotionComponents> {
   self: VmEntry
   fleetMessageHandler: FleetMessageHandler
   control: ControlConnections
+  startRecord: StartRecord
 }
 
 /** Creates what promotions on this VM use. */
 function createPromotionHost (sources: PromotionSources): { host: PromotionHost, claimInquiries: ClaimInquiries } {
-  const { settings: { vm }, adapters: { store, promoter }, logger, clock, self, members, directory, fleet, control } = sources
+  const { settings: { vm }, adapters: { store, promoter }, logger, clock, self, members, directory, fleet, control, startRecord } = sources
   const waitClock = new MonotonicClock()
   const claimInquiries: ClaimInquiries = new ClaimInquiries({
     store,
@@ -283,7 +298,8 @@
     return !isStoreRecovering(directory, clock.readNow())
   }
   const callbacks = sources.fleetMessageHandler.createPromotionCallbacks()
-  return { host: { clock, waitClock, logger, vm, control, claims, promoter, fetchEndpoints, ...callbacks }, claimInquiries }
+  const readStarts: PromotionHost['readStarts'] = async group => await startRecord.read(group)
+  return { host: { clock, waitClock, logger, vm, control, claims, promoter, fetchEndpoints, readStarts, ...callbacks }, claimInquiries }
 }
 
 /** Has the endpoints of a group asked for their roles when the known primary is contradicted. */
--- a/packages/gateway/src/failover/fence-departures.ts
+++ b/packages/gateway/src/failover/fence-departures.ts
@@ -110,7 +110,7 @@
 }
 
 /** Whether another endpoint listens at the address, which proves that the former one has ended. */
-function isAddressReused (error: unknown): boolean {
+export function isAddressReused (error: unknown): boolean {
   return error instanceof EndpointRefusedError && error.code === 'misrouted'
 }
 
--- a/packages/gateway/src/failover/promotion-attempt.ts
+++ b/packages/gateway/src/failover/promotion-attempt.ts
@@ -9,6 +9,7 @@
 import type { ControlCommand, ControlConnections } from './control-connections.ts'
 import type { FencedEndpoint, PromotionReason } from './decide-promotion.ts'
 import type { Claim, DutyClaims, FormerPrimary, OpenOrder, StrayCall } from './duty-claim.ts'
+import type { RecordedStart } from './recorded-starts.ts'
 
 const MAX_BUSY_ATTEMPTS = 4
 /** Time that the VMs have to confirm that they revoked the primary's leadership. */
@@ -56,6 +57,11 @@
    * may be missing for a while after the store could not be reached. Rejects with MetadataError if the store does not respond.
    */
   fetchEndpoints: () => Promise<boolean>
+  /**
+   * Reads the starts of the group's endpoints that are on record in the store, and adds those that this VM does not know to the group's
+   * departures. Rejects with MetadataError if the store does not respond.
+   */
+  readStarts: (group: ServiceGroup) => Promise<readonly RecordedStart[]>
   /** Has all VMs, this one included, revoke the primary's leadership: they no longer send it reads on the strength of its lease. Waits for `waitMs` at most. */
   revoke: (group: ServiceGroup, term: number, isPlanned: boolean, waitMs: number) => Promise<Revocation>
   /** Tells all VMs, this one included, an order that is about to be sent. */
@@ -85,6 +91,8 @@
   replicas: EndpointEntry[]
   /** Replicas that have left the group, or that have come (back) since the attempt began, by start. */
   departures: Map<string, ReportedDeparture>
+  /** Starts of the group's endpoints on record in the store. */
+  recordedStarts: readonly RecordedStart[]
   /** Time at which the status request was sent to which the new primary responded that it leads. */
   leadershipVerifiedAtMs: number
   /** An order of this or an earlier attempt that may still take effect. */
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -13,6 +13,7 @@
 import { describeStatuses, requestPromotion } from './order-promotion.ts'
 import { REVOKE_TIMEOUT_MS, runOnAll, type Attempt, type PromotionHost, type Revocation } from './promotion-attempt.ts'
 import { ensureClaim, ensureOrderCleared } from './promotion-claim.ts'
+import { findOnlyMissing } from './recorded-starts.ts'
 import { computeResumedUntil, resumeEndpoint } from './resume-endpoint.ts'
 
 /** Checks whether replicas follow a new primary, and the time between two of them. */
@@ -143,6 +144,7 @@
     oldPrimary,
     replicas: entries.filter(e => e !== oldPrimary),
     departures: new Map(),
+    recordedStarts: [],
     leadershipVerifiedAtMs: -Infinity,
     openOrder: claim.order,
     seenPromotedTerm: 0,
@@ -199,11 +201,14 @@
   const isPlanned = isPlannedChange(reason)
   await updateTerm(attempt)
   const pendingRevocation = host.revoke(group, attempt.replacedTerm + 1, isPlanned, isPlanned ? PLANNED_REVOKE_TIMEOUT_MS : REVOKE_TIMEOUT_MS)
-  pendingRevocation.catch(() => {}) // It is awaited only after the fence, which may fail first.
+  const pendingStarts = host.readStarts(group)
+  // They are awaited only after the fence, which may fail first.
+  for (const pending of [pendingRevocation, pendingStarts]) pending.catch(() => {})
   if (isPlanned) ensureLatestPrimary(attempt, (await pendingRevocation).latestPrimary)
   let fenced = isPlanned ? await fencePlannedChange(attempt) : await fenceReplicas(attempt)
   const fencedAtMs = host.waitClock.readNow()
   const revocation = await pendingRevocation
+  attempt.recordedStarts = await pendingStarts
   adoptAnnouncedOrder(attempt, revocation.openOrder)
   ensureLatestPrimary(attempt, revocation.latestPrimary, fenced.endpoints)
   const unknownReplicas = mergeEndpoints(attempt, revocation)
@@ -280,15 +285,17 @@
 
 /**
  * Records the replicas that have left the group, and those that have come (back) since the attempt began. Departures of the endpoint that led
- * last do not count: its commits were received by a replica as well.
+ * last do not count: its commits were received by a replica as well. If no endpoint is known to have led, that holds for the only one that is
+ * missing.
  *
  * @returns the replicas that other VMs know and this one does not
  */
 function mergeEndpoints (attempt: Attempt, revocation: Revocation): EndpointStart[] {
   const { group, oldPrimary, replicas, departures } = attempt
-  const leader = attempt.knownPrimary ?? findLastLeader(attempt, revocation)
+  const lastLeader = attempt.knownPrimary ?? findLastLeader(attempt, revocation)
+  const leader = lastLeader?.endpoint ?? findOnlyMissing(attempt.recordedStarts, [...group.pools.values()].map(p => p.entry))
   const counted = new Set([...replicas, ...oldPrimary === undefined ? [] : [oldPrimary]].map(formatStart))
-  const isReplica = ({ endpoint }: EndpointStart): boolean => endpoint !== leader?.endpoint
+  const isReplica = ({ endpoint }: EndpointStart): boolean => endpoint !== leader
   const merge = (departure: ReportedDeparture): void => { departures.set(formatStart(departure), mergeDepartures(departures.get(formatStart(departure)), departure)) }
   for (const { noticedAtMs, ...departure } of group.departures.filter(isReplica)) merge(departure)
   for (const { entry: { endpoint, startedAtMs, address, isDraining }, latestPosition } of group.pools.values()) {
--- a/packages/gateway/src/groups/group-table.ts
+++ b/packages/gateway/src/groups/group-table.ts
@@ -37,6 +37,8 @@
   checkRole: (group: ServiceGroup, entry: EndpointEntry) => void
   /** Limits the requests to cold endpoints; absent without such limits. */
   warmup?: WarmupLimits
+  /** As in `ServiceGroupOptions`. */
+  handleStart?: (group: ServiceGroup) => void
   /** Called if an endpoint has left its group, or if the log ends of departures have become unknown. */
   handleDeparture: (group: ServiceGroup) => void
   /** As in `ServiceGroupOptions`. */
@@ -80,10 +82,10 @@
   #findOrCreateGroup (service: string): ServiceGroup {
     const existing = this.#groups.get(service)
     if (existing !== undefined) return existing
-    const { connector, clock, logger, recordOpened, handleDeparture, handlePrimaryDoubt, evacuations, warmup, servingVms, recordRefused } = this.#options
+    const { connector, clock, logger, recordOpened, handleStart, handleDeparture, handlePrimaryDoubt, evacuations, warmup, servingVms, recordRefused } = this.#options
     // In a small fleet each VM has enough connections of its own, and a queue seldom forms.
     const scheduling = this.#options.scheduling === undefined ? undefined : { ...this.#options.scheduling, isApplied: () => servingVms?.isServed(service) === true }
-    const group = new ServiceGroup({ service, handleDeparture, handlePrimaryDoubt, warmup, scheduling, listEvacuations: evacuations === undefined ? undefined : () => evacuations.list(), connector, clock, logger, readLimits: (g, e) => this.#readLimits(g, e), recordOpened: () => recordOpened(service), recordRefused: refusal => recordRefused?.(service, refusal) })
+    const group = new ServiceGroup({ service, handleStart, handleDeparture, handlePrimaryDoubt, warmup, scheduling, listEvacuations: evacuations === undefined ? undefined : () => evacuations.list(), connector, clock, logger, readLimits: (g, e) => this.#readLimits(g, e), recordOpened: () => recordOpened(service), recordRefused: refusal => recordRefused?.(service, refusal) })
     this.#groups.set(service, group)
     return group
   }
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -52,6 +52,8 @@
   random?: () => number
   /** Limits the requests to cold endpoints; absent without such limits. */
   warmup?: WarmupLimits
+  /** Called if a start of an endpoint has registered that was not registered before. */
+  handleStart?: (group: ServiceGroup) => void
   /** Called if an endpoint has left the group, or if the log ends of departures have become unknown. */
   handleDeparture?: (group: ServiceGroup) => void
   /** Called when the known primary is contradicted: by its own position of a later term, or by a VM that knows another one for its term. */
@@ -208,8 +210,7 @@
     const { clock, connector, logger, readLimits, recordOpened, recordRefused, pressure, scheduling, random } = this.#options
     const pool = this.pools.get(entry.endpoint)
     this.#options.warmup?.recordEntry(entry)
-    if (pool !== undefined && pool.entry.startedAtMs !== entry.startedAtMs) this.#addDeparture({ ...describeDeparted(pool), isGone: true })
-    if (pool?.entry.startedAtMs !== entry.startedAtMs) this.state.replicaStartNoticedAtMs = clock.readNow()
+    if (pool?.entry.startedAtMs !== entry.startedAtMs) this.#recordStart(pool)
     removeDeparture(this.departures, entry, clock.readNow())
     if (pool !== undefined && pool.entry.address === entry.address) pool.updateEntry(entry)
     else {
@@ -220,6 +221,13 @@
     this.#publishChange()
   }
 
+  /** Records that an endpoint has started; `previous` is the pool of its earlier start, if that was registered. */
+  #recordStart (previous: EndpointPool | undefined): void {
+    if (previous !== undefined) this.#addDeparture({ ...describeDeparted(previous), isGone: true })
+    this.state.replicaStartNoticedAtMs = this.#options.clock.readNow()
+    this.#options.handleStart?.(this)
+  }
+
   removeEntry (endpoint: string): void {
     const pool = this.pools.get(endpoint)
     pool?.stop()
--- a/packages/gateway/src/metadata/metadata-store.ts
+++ b/packages/gateway/src/metadata/metadata-store.ts
@@ -32,10 +32,12 @@
   quotas: unknown
   /** Shares of the limits of cold endpoints, by endpoint. */
   warmups: unknown
+  /** Starts of endpoints whose logs may be needed, by service. */
+  groups: unknown
 }
 export type ObjectKind = keyof ObjectKinds
 /** Kinds whose objects the VMs write themselves. */
-export type WritableKind = 'vms' | 'duties' | 'quotas' | 'warmups'
+export type WritableKind = 'vms' | 'duties' | 'quotas' | 'warmups' | 'groups'
 
 /**
  * The platform's store of versioned objects.
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -14,13 +14,14 @@
 import { FailoverWatch, type FailoverWatchOptions } from '../failover/failover-watch.ts'
 import type { PromotionHost } from '../failover/promotion-attempt.ts'
 import { runPromotion } from '../failover/run-promotion.ts'
+import { StartRecord } from '../failover/start-record.ts'
 import { LeadershipVerifier } from '../failover/verify-leadership.ts'
 import { FleetMessageHandler, type FleetMessageHandlerOptions } from '../fleet/fleet-message-handler.ts'
 import { addMember, createMemberState, recordLeft, recordPoll, recordReport, type MemberState } from '../fleet/members.ts'
 import type { FleetMessage } from '../fleet/message-schemas.ts'
 import { ServiceGroup } from '../groups/service-group.ts'
 import { MetadataError } from '../metadata/errors.ts'
-import type { StoredObject, WritableKind } from '../metadata/metadata-store.ts'
+import type { ObjectKind, StoredObject, WritableKind } from '../metadata/metadata-store.ts'
 import type { Revision } from '../metadata/revision.ts'
 import { waitAtMost } from '../runtime/wait-at-most.ts'
 import type { Operation, Outcome } from '../statements/operation.ts'
@@ -34,6 +35,8 @@
 
 const MESSAGE_DELAY_MS = 3
 const MAX_OPEN_CONNECTIONS = 1_000
+/** Times of a call for the record of endpoint starts. */
+const RECORD_CALL_MS: StoreDelays = [2, 2]
 const STATEMENT_TIMEOUT_MS = 2_000
 const ROUTE: Route = { name: 'r', database: 'd', service: 's', consistency: 'primary', statementTimeoutMs: STATEMENT_TIMEOUT_MS, objectiveMs: 400, priority: 1, maxStalenessMs: 0, isPublic: false }
 const STORE_TIMEOUT_MS = 1_000
@@ -149,7 +152,12 @@
     this.connector = new SimulatedConnector(fleet.group, time, this.process)
     const control = new ControlConnections(this.connector)
     const departureInquiries = new DepartureInquiries({ clock: time, logger: logger.child({ vm: name }), control, members: this.members })
-    this.group = new ServiceGroup({ service: 's', listEvacuations: () => this.evacuations, handleDeparture: group => departureInquiries.schedule(group), handlePrimaryDoubt: () => this.findPrimary(), connector: new SimulatedStatementConnector(fleet.group, this), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: MAX_OPEN_CONNECTIONS }), recordOpened: () => {} })
+    const handleStart = (group: ServiceGroup): void => startRecord.schedule(group)
+    const handleDeparture = (group: ServiceGroup): void => {
+      departureInquiries.schedule(group)
+      startRecord.schedule(group)
+    }
+    this.group = new ServiceGroup({ service: 's', listEvacuations: () => this.evacuations, handleStart, handleDeparture, handlePrimaryDoubt: () => this.findPrimary(), connector: new SimulatedStatementConnector(fleet.group, this), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: MAX_OPEN_CONNECTIONS }), recordOpened: () => {} })
     this.#store = new SimulatedStore(fleet.store.state, {
       canReach: () => this.isRunning && this.isStoreReachable,
       drawDelays: () => this.drawStoreDelays(),
@@ -157,6 +165,8 @@
       time,
       process: this.process
     })
+    const vmLogger = logger.child({ vm: name })
+    const startRecord = new StartRecord({ store: this.#store, control, members: this.members, clock: time, logger: vmLogger })
     const inquiries: ClaimInquiries = new ClaimInquiries({ store: this.#store, clock: time, members: this.members, isClaimHeld: service => claims.isHeld(service), send: (vm, message) => this.#send(vm, message) })
     const claims: DutyClaims = new DutyClaims({ store: this.#store, clock: time, logger, vm: name, incarnation: this.members.self.incarnation, confirmNoClaims: async (service, epoch) => await inquiries.confirmNoClaims(service, epoch) })
     this.#handler = this.#createHandler(inquiries)
@@ -165,8 +175,8 @@
     this.context = this.#createContext(this.#verifier)
     const fetchEndpoints = async (): Promise<boolean> => await this.#fetchEndpoints()
     const callbacks = this.#handler.createPromotionCallbacks()
-    const vmLogger = logger.child({ vm: name })
-    this.#host = { clock: time, waitClock: time, logger: vmLogger, vm: name, control, claims, promoter, fetchEndpoints, ...callbacks }
+    const readStarts: PromotionHost['readStarts'] = async group => await startRecord.read(group)
+    this.#host = { clock: time, waitClock: time, logger: vmLogger, vm: name, control, claims, promoter, fetchEndpoints, readStarts, ...callbacks }
   }
 
   /** Registers endpoints in this VM's view; all of the group by default. */
@@ -357,19 +367,19 @@
   }
 
   override async find (kind: WritableKind, name: string): Promise<StoredObject<unknown> | undefined> {
-    return await this.#exchange(async () => await super.find(kind, name))
+    return await this.#exchange(kind, async () => await super.find(kind, name))
   }
 
   /** Reads the entries of the group's endpoints, as a listing does. */
   async readRegistered (): Promise<EndpointEntry[]> {
-    return await this.#exchange(async () => {
+    return await this.#exchange('endpoints', async () => {
       this.beginCall()
       return this.#options.listRegistered()
     })
   }
 
   protected override async sendWrite (kind: WritableKind, name: string, value: unknown, number: number | null): Promise<Revision> {
-    return await this.#exchange(async () => await super.sendWrite(kind, name, value, number))
+    return await this.#exchange(kind, async () => await super.sendWrite(kind, name, value, number))
   }
 
   protected override beginCall (): Revision {
@@ -378,9 +388,10 @@
   }
 
   /** Makes a call. One whose answer does not come in time may be executed later. */
-  async #exchange<T> (call: () => Promise<T>): Promise<T> {
+  async #exchange<T> (kind: ObjectKind, call: () => Promise<T>): Promise<T> {
     const { drawDelays, time, process } = this.#options
-    const [toStoreMs, toVmMs] = drawDelays()
+    // Drawn times would change the course of a seed's events with each comparison of the record.
+    const [toStoreMs, toVmMs] = kind === 'groups' ? RECORD_CALL_MS : drawDelays()
     if (toStoreMs === 0 && toVmMs === 0) return await call()
     const exchange = async (): Promise<T> => {
       await time.waitOutside(toStoreMs)
