Take no VM for all VMs while the VMs have not been listed

Callers lost an acknowledged commit (LOST): a VM whose listing of the VMs had failed since its start promoted a replica without it.

Cause: the acknowledged positions count as complete once every member of the fleet has confirmed. The members are empty until the store or another VM has listed them, so that nobody was asked and nobody was missing.

Evidence: the new test of promotion-safety.test.ts fails without the change ("a lacks 1.2; 1 of them were passed on to clients").

The positions now count as complete only with a list of the VMs. The fixture of two tests of revocations had none, although they are about VMs that are missing from one; it has now, and what they check is unchanged.

--- a/packages/gateway/src/failover/promotion-safety.test.ts
+++ b/packages/gateway/src/failover/promotion-safety.test.ts
@@ -474,6 +474,26 @@
       expect(await promoted).to.equal(null)
     })
 
+    // Guards against a VM that could not list the others and takes its own positions for those of all VMs (LOST).
+    it('does not rely on its own acknowledged positions without a list of the VMs', async () => {
+      const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
+      vm1.members.members.clear()
+      vm1.members.hasMemberList = false
+      for (const vm of [vm1, vm2]) vm.addEndpoints()
+      await fleet.advance(100)
+      vm1.commit()
+      await fleet.advance(50)
+      fleet.group.find('a').isDeaf = true
+      vm2.commit()
+      await fleet.advance(50)
+      fleet.group.find('b').isRunning = false
+      fleet.group.find('p').isRunning = false
+      const promoted = vm1.promote('primary lost')
+      await fleet.advance(6_000)
+      expect(fleet.group.lost).to.deep.equal([])
+      expect(await promoted).to.equal(null)
+    })
+
     it('relies on them once a later commit has been acknowledged', async () => {
       const [vm1, vm2] = [fleet.startVm('vm1'), fleet.startVm('vm2')]
       for (const vm of [vm1, vm2]) vm.addEndpoints()
--- a/packages/gateway/src/fleet/fleet-message-handler.test.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.test.ts
@@ -114,6 +114,7 @@
 
   function createRespondingMembers (nowMs: number): MemberState {
     const state = createMemberState(createEntry('vm-a'))
+    state.hasMemberList = true
     for (const vm of ['vm-b', 'vm-c']) addMember(state, createEntry(vm))
     for (const vm of ['vm-b', 'vm-c']) recordReport(state, vm, nowMs)
     return state
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -313,7 +313,9 @@
     const lastLossAtMs = Math.max(this.#losses.lastLossAtMs, finishedAtMs - revocation.uptimeMs)
     // A missing VM may run beside the primary, with commits acknowledged that no other VM knows of.
     const hasMissingVms = revocation.hasMissingVms || listMissing(members, finishedAtMs).length > 0
-    const isEveryVmAsked = vms.length === members.members.size && !hasMissingVms
+    // Without a list of the VMs, this one has asked only those that have introduced themselves.
+    const isEveryVmKnown = members.hasMemberList && hasAllMembers(members, finishedAtMs)
+    const isEveryVmAsked = isEveryVmKnown && vms.length === members.members.size && !hasMissingVms
     const hasEveryVm = revocation.hasEveryVmConfirmed && isEveryVmAsked
     return { ...revocation, hasEveryVm, hasEveryAcknowledgement: hasEveryVm && sentAtMs - revocation.lastCommitAgeMs > lastLossAtMs }
   }
