Count a presumed end only if no VM has started since

Callers lost an acknowledged commit (LOST): a replica that refused one VM's connections counted as ended although it had received more, and the VM that had passed the commit on had started again.

Cause: a presumed end counts in a promotion once every VM has confirmed, as each acknowledged position is known then. A VM that has started again confirms as well, but has forgotten the positions that it knew.

Evidence: the new test of fence-departures.test.ts fails without the change (the shorter log is promoted).

A presumed end now counts only if this VM knows the end of the primary's log after it, and no VM has stopped, left or started since it was presumed. One that is presumed in the promotion itself counts as unfenced; its log end is not known, so that it could not be covered before either.

--- a/packages/gateway/src/failover/fence-departures.test.ts
+++ b/packages/gateway/src/failover/fence-departures.test.ts
@@ -140,6 +140,24 @@
     expect(fleet.group.lost).to.deep.equal([])
   })
 
+  // Guards against a presumed end beside the confirmation of a VM that has forgotten, in a restart, what this replica had acknowledged (LOST).
+  it('loses no commit of a replica that refuses connections if the VM that knew it has started again', async () => {
+    const [vm1, vm2] = await setUpLapse()
+    fleet.group.find('b').isDeaf = false
+    await fleet.advance(50)
+    vm1.connector.refused.add('a')
+    recordGone(vm1.group.departures, vm1.group.departures[0]!, fleet.time.readNow(), true)
+    vm1.commit()
+    await fleet.advance(50)
+    fleet.group.find('b').isDeaf = true
+    vm2.commit()
+    await fleet.advance(50)
+    vm2.kill()
+    fleet.startVm('vm2').addEndpoints('p', 'b')
+    expect(await crashAndPromote(vm1)).to.equal(null)
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
   it('remains possible if the replica still refuses connections', async () => {
     const [vm1] = await setUpLapse()
     fleet.group.find('b').isDeaf = false
--- a/packages/gateway/src/failover/fence-departures.ts
+++ b/packages/gateway/src/failover/fence-departures.ts
@@ -6,11 +6,13 @@
 import { ensureNotReplaced } from './check-leadership.ts'
 import type { ControlCommand } from './control-connections.ts'
 import { pauseReplica } from './fence-group.ts'
-import { RETRY_DELAY_MS, type Attempt } from './promotion-attempt.ts'
+import { RETRY_DELAY_MS, type Attempt, type Revocation } from './promotion-attempt.ts'
 import { resumeEndpoint } from './resume-endpoint.ts'
 
 const MAX_BUSY_ATTEMPTS = 4
 
+type KnownCommits = Pick<Revocation, 'hasEveryVm' | 'lastLossAtMs'>
+
 interface FencedDeparture {
   /** The departure, with the position that a candidate must hold. */
   departure: ReportedDeparture
@@ -32,12 +34,12 @@
  * Pauses the replicas that have left the directory, at their last known addresses. One may still receive and have commits acknowledged,
  * for example while it does not reach the store.
  *
- * @param hasEveryVm whether every VM that may run has told what it knows to be acknowledged. Without that, a replica counts as ended only
- *   if its end is proven: a VM that has not answered may reach it, and have commits acknowledged by it.
+ * @param known what the VMs have confirmed. A replica counts as ended only if its end is proven, or if every VM has told what it has known to
+ *   be acknowledged since the end was presumed: another VM may reach it, and have commits acknowledged by it.
  */
-export async function fenceDepartures (attempt: Attempt, hasEveryVm: boolean): Promise<FencedDepartures> {
+export async function fenceDepartures (attempt: Attempt, known: KnownCommits): Promise<FencedDepartures> {
   const departures = [...attempt.departures.values()]
-  const fenced = await Promise.all(departures.map(async d => await fenceDeparture(attempt, d, hasEveryVm)))
+  const fenced = await Promise.all(departures.map(async d => await fenceDeparture(attempt, d, known)))
   ensureNotReplaced(attempt, fenced.flatMap(({ departure, status }) => status === undefined ? [] : [{ entry: departure, status }]))
   return {
     departures: fenced.map(f => f.departure),
@@ -46,10 +48,10 @@
   }
 }
 
-async function fenceDeparture (attempt: Attempt, departure: ReportedDeparture, hasEveryVm: boolean): Promise<FencedDeparture> {
+async function fenceDeparture (attempt: Attempt, departure: ReportedDeparture, known: KnownCommits): Promise<FencedDeparture> {
   const { term } = attempt
   const { address } = departure
-  const isEndKnown = departure.isGone === true && (departure.isPresumed !== true || hasEveryVm)
+  const isEndKnown = departure.isGone === true && (departure.isPresumed !== true || isEndCounted(attempt, departure, known))
   if (isEndKnown || address === undefined) return { departure, isUnfenced: false }
   try {
     const status = await runWithRetries(attempt, departure, async c => await pauseReplica(c, term))
@@ -58,21 +60,31 @@
     if (status.role === 'primary' || status.pausedForTerm < term) return { departure: running, isUnfenced: true, status }
     return { departure: { ...running, logEnd: computeRequiredEnd(running) }, isUnfenced: false, status }
   } catch (error) {
-    return recordNotPaused(attempt, departure, hasEveryVm, error)
+    return recordNotPaused(attempt, departure, known, error)
   }
 }
 
+/**
+ * Whether a presumed end counts: this VM knows the end of the primary's log after it, and since then no VM has forgotten what it knew to be
+ * acknowledged.
+ */
+function isEndCounted ({ group }: Attempt, departure: ReportedDeparture, { hasEveryVm, lastLossAtMs }: KnownCommits): boolean {
+  const own = group.departures.find(d => formatStart(d) === formatStart(departure))
+  return hasEveryVm && own?.isGone === true && own.logEnd !== null && lastLossAtMs <= own.noticedAtMs
+}
+
 /** Records whether a replica that could not be paused counts as ended. */
-function recordNotPaused ({ host, group }: Attempt, departure: ReportedDeparture, hasEveryVm: boolean, error: unknown): FencedDeparture {
+function recordNotPaused (attempt: Attempt, departure: ReportedDeparture, known: KnownCommits, error: unknown): FencedDeparture {
+  const { host, group } = attempt
   const { endpoint, address, logEnd } = departure
   const nowMs = host.clock.readNow()
   const isLongMissing = group.departures.some(d => formatStart(d) === formatStart(departure) && nowMs - d.noticedAtMs >= LONG_MISSING_MS)
   const isProven = isAddressReused(error) || departure.isDraining === true
   const isGone = isProven || isRefused(error) || isLongMissing || departure.isGone === true
   if (isGone) recordGone(group.departures, departure, nowMs, !isProven)
-  const inputs = { isProven, hasEveryVm, logEnd, reason: describeError(error) }
+  const inputs = { isProven, hasEveryVm: known.hasEveryVm, lastLossAgeMs: Math.round(nowMs - known.lastLossAtMs), logEnd, reason: describeError(error) }
   host.logger.info('departed replica not paused', { service: group.service, endpoint, address, isGone, ...inputs })
-  return { departure: { ...departure, isGone, isPresumed: isGone && !isProven }, isUnfenced: !isProven && !(isGone && hasEveryVm) }
+  return { departure: { ...departure, isGone, isPresumed: isGone && !isProven }, isUnfenced: !isProven }
 }
 
 /** Takes back that a departed replica has ended, if it counted as ended, because it has responded. */
--- a/packages/gateway/src/failover/promotion-attempt.ts
+++ b/packages/gateway/src/failover/promotion-attempt.ts
@@ -22,6 +22,8 @@
   hasEveryVmConfirmed: boolean
   /** Whether every VM of the fleet has confirmed, also those that are presumed stopped, and none is missing. */
   hasEveryVm: boolean
+  /** When a VM last stopped, left or started, as far as this VM knows: it has forgotten the positions that it knew before. */
+  lastLossAtMs: number
   /**
    * Whether no acknowledged position can lie beyond `acknowledged`: every VM has confirmed, and a commit was sent and acknowledged
    * after a VM last stopped or restarted and forgot what it knew.
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -212,14 +212,14 @@
   adoptAnnouncedOrder(attempt, revocation.openOrder)
   ensureLatestPrimary(attempt, revocation.latestPrimary, fenced.endpoints)
   const unknownReplicas = mergeEndpoints(attempt, revocation)
-  let fencedDepartures = await fenceDepartures(attempt, revocation.hasEveryVm)
+  let fencedDepartures = await fenceDepartures(attempt, revocation)
   // In a planned change VMs let commits in flight finish, as the primary steps down first.
   const hasStoppedCommits = !isPlanned || fenced.endpoints.some(f => f.isOldPrimary)
   // Without every acknowledged position, a replica that has just restarted without its log is told only by its entry, which comes later.
   if (!revocation.hasEveryAcknowledgement || !hasStoppedCommits) {
     fenced = await waitForLeases(attempt, fenced, fencedDepartures.hasPaused ? host.waitClock.readNow() : fencedAtMs)
     mergeEndpoints(attempt, revocation)
-    fencedDepartures = await fenceDepartures(attempt, revocation.hasEveryVm)
+    fencedDepartures = await fenceDepartures(attempt, revocation)
   }
   // An order may be open for the endpoint that this VM still takes for the primary, which has stepped down.
   const isOrderForOldPrimary = attempt.openOrder !== null && attempt.openOrder.endpoint === attempt.knownPrimary?.endpoint
--- a/packages/gateway/src/fleet/fleet-message-handler.ts
+++ b/packages/gateway/src/fleet/fleet-message-handler.ts
@@ -317,7 +317,7 @@
     const isEveryVmKnown = members.hasMemberList && hasAllMembers(members, finishedAtMs)
     const isEveryVmAsked = isEveryVmKnown && vms.length === members.members.size && !hasMissingVms
     const hasEveryVm = revocation.hasEveryVmConfirmed && isEveryVmAsked
-    return { ...revocation, hasEveryVm, hasEveryAcknowledgement: hasEveryVm && sentAtMs - revocation.lastCommitAgeMs > lastLossAtMs }
+    return { ...revocation, hasEveryVm, lastLossAtMs, hasEveryAcknowledgement: hasEveryVm && sentAtMs - revocation.lastCommitAgeMs > lastLossAtMs }
   }
 
   #handleOrder (vm: string, { service, order }: Extract<FleetMessage, { type: 'ordered' }>): void {
--- a/packages/gateway/src/fleet/revocations.ts
+++ b/packages/gateway/src/fleet/revocations.ts
@@ -24,7 +24,7 @@
 }
 
 /** What the VMs have confirmed a revocation with. */
-export interface Confirmations extends Omit<Revocation, 'hasEveryAcknowledgement' | 'hasEveryVm'> {
+export interface Confirmations extends Omit<Revocation, 'hasEveryAcknowledgement' | 'hasEveryVm' | 'lastLossAtMs'> {
   /** Age of the latest acknowledged commit of any VM. */
   lastCommitAgeMs: number
   /** Time since the latest start of any VM. */
