Keep an order open while its endpoint is only presumed to have ended

Callers lost acknowledged commits (LOST): an endpoint that had been ordered was promoted after another one had led.

Cause: an order is closed by its effect or by the proven end of its endpoint. decideOrderState took a presumed end, one VM's refused connection or ten seconds of silence, for a proven one, and another endpoint was ordered while the first call could still take effect.

An endpoint whose end is presumed now counts as one without an entry until no call of its order can take effect any more, 26 s after the latest one.

--- a/packages/gateway/src/failover/order-decisions.ts
+++ b/packages/gateway/src/failover/order-decisions.ts
@@ -23,24 +23,31 @@
 export interface OrderedEndpoint {
   /** Start of the endpoint that its entry tells; `undefined` without an entry. */
   startedAtMs: number | undefined
-  departures: ReadonlyArray<EndpointStart & Pick<Departure, 'isGone'>>
+  departures: ReadonlyArray<EndpointStart & Pick<Departure, 'isGone' | 'isPresumed'>>
   /** End of its log, if it is fenced; `null` if it did not respond. */
   received: LogPosition | null
   /** Latest position that any VM knows to be acknowledged. */
   acknowledged: LogPosition | null
+  /** Time of the wall clock. */
+  nowMs: number
 }
 
+/** What `decideOrderState` needs of an order. */
+type CalledOrder = Pick<OpenOrder, 'endpoint' | 'startedAtMs' | 'received' | 'calledAtMs'>
+
 export type OrderState = 'orderAgain' | 'lapsed' | 'silent' | 'ended'
 
 /**
  * Decides what becomes of an order that may still take effect. Its choice was proven when it was recorded, and no commit was acknowledged
  * since. Only an endpoint that is known to have ended, or has started again without its log, is not promoted by it any more (`ended`). While
- * it has no entry (`lapsed`) or does not respond (`silent`), nothing can be ordered: if it runs, it may become primary at any time.
+ * it has no entry (`lapsed`) or does not respond (`silent`), nothing can be ordered: if it runs, it may become primary at any time. One whose end
+ * is only presumed may run until no call can take effect any more.
  */
-export function decideOrderState (order: Pick<OpenOrder, 'endpoint' | 'startedAtMs' | 'received'>, { startedAtMs, departures, received, acknowledged }: OrderedEndpoint): OrderState {
+export function decideOrderState (order: CalledOrder, { startedAtMs, departures, received, acknowledged, nowMs }: OrderedEndpoint): OrderState {
   const isSameStart = startedAtMs === order.startedAtMs
   const departure = departures.find(d => formatStart(d) === formatStart(order))
-  if (!isSameStart) return departure !== undefined && departure.isGone !== true ? 'lapsed' : 'ended'
+  const isPresumed = departure?.isPresumed === true && nowMs < order.calledAtMs + CALL_LIFETIME_MS
+  if (!isSameStart) return departure !== undefined && (departure.isGone !== true || isPresumed) ? 'lapsed' : 'ended'
   if (received === null) return 'silent'
   return comparePositions(received, pickLaterPosition(acknowledged, order.received)) >= 0 ? 'orderAgain' : 'ended'
 }
--- a/packages/gateway/src/failover/promotion-review.test.ts
+++ b/packages/gateway/src/failover/promotion-review.test.ts
@@ -78,6 +78,24 @@
     expect(fleet.group.lost).to.deep.equal([])
   })
 
+  // Guards against a refused connection that is taken for the end of an ordered endpoint, which its order promotes afterwards (LOST).
+  it('loses no commit if an ordered endpoint without an entry refuses connections while it runs', async () => {
+    const [vm1, vm2, vm3] = await startVms('vm1', 'vm2', 'vm3') as [SimulatedVm, SimulatedVm, SimulatedVm]
+    vm1.promotionDelayMs = 20_000
+    vm1.promote('primary lost').catch(() => {}) // Its VM stops.
+    await waitForOrder(vm1, vm3)
+    await commitFor(100, vm3)
+    vm1.leave()
+    for (const vm of [vm2, vm3]) {
+      vm.group.removeEntry('a')
+      vm.connector.refused.add('a')
+    }
+    Object.assign(fleet.group.find('a'), { isDeaf: true, isRegistered: false })
+    await promoteUntilDone(12_000, vm2, vm3)
+    await commitFor(16_000, vm3)
+    expect(fleet.group.lost).to.deep.equal([])
+  })
+
   it('loses no commit if the outcome of an earlier attempt arrives after the revocation of a later one', async () => {
     const [, vm2, vm3] = await startVms('vm1', 'vm2', 'vm3') as [SimulatedVm, SimulatedVm, SimulatedVm]
     vm2.connector.unreachable.add('b')
--- a/packages/gateway/src/failover/run-promotion.ts
+++ b/packages/gateway/src/failover/run-promotion.ts
@@ -268,7 +268,9 @@
   if (openOrder === null || !openOrder.isProven) return undefined
   const ordered = fenced.endpoints.find(f => f.endpoint === openOrder.endpoint)
   const { endpoint } = openOrder
-  const state = decideOrderState(openOrder, { startedAtMs: group.pools.get(endpoint)?.entry.startedAtMs, departures: group.departures, received: ordered?.received ?? null, acknowledged })
+  const startedAtMs = group.pools.get(endpoint)?.entry.startedAtMs
+  const received = ordered?.received ?? null
+  const state = decideOrderState(openOrder, { startedAtMs, departures: group.departures, received, acknowledged, nowMs: Date.now() })
   if (state === 'lapsed') throw new Error(`${endpoint} has no entry, but may be promoted at any time by an earlier order`)
   if (state === 'silent') throw new Error(`${endpoint} does not respond and may be promoted at any time by an earlier order`)
   if (state === 'orderAgain') return ordered
--- a/packages/gateway/src/testing/simulated-order-states.ts
+++ b/packages/gateway/src/testing/simulated-order-states.ts
@@ -380,7 +380,7 @@
 function decideModelOrder (s: OrderState, { attempt, departures }: ModelVm, order: OpenOrder, acknowledged: LogPosition | null): ReturnType<typeof decideOrderState> {
   const { isListed, listedStartMs } = s.endpoints[order.endpoint]!
   const received = attempt!.fenced.find(f => f.endpoint === order.endpoint)?.received ?? null
-  return decideOrderState(order, { startedAtMs: isListed ? listedStartMs : undefined, departures, received, acknowledged })
+  return decideOrderState(order, { startedAtMs: isListed ? listedStartMs : undefined, departures, received, acknowledged, nowMs: s.nowMs })
 }
 
 function checkCandidate (s: OrderState, i: number): boolean {
