Take a replica that shuts down for ended only once it must have ended

Callers lost an acknowledged commit (LOST): a replica that was shutting down lost its entry and went on receiving; a log without its last commit was promoted.

Cause: an announced shutdown proved the end of a replica as soon as its entry was gone, and the end of the primary's log was taken as covering it from then on. An entry is also removed after three ping intervals of silence, while the replica serves and receives for many seconds more.

The end now counts as proven 30 s after the departure. Before that, it is presumed like that of any replica without an entry.

--- a/packages/gateway/src/failover/fence-departures.ts
+++ b/packages/gateway/src/failover/fence-departures.ts
@@ -1,7 +1,7 @@
 import { describeError, type LogPosition } from '@camphorpitch/wire'
 import type { EndpointStatus } from '../backend/endpoint-connector.ts'
 import { ConnectionLostError, EndpointRefusedError } from '../backend/errors.ts'
-import { formatStart, LONG_MISSING_MS, recordGone, recordRunning, type ReportedDeparture } from '../groups/departures.ts'
+import { formatStart, hasShutDown, LONG_MISSING_MS, recordGone, recordRunning, type ReportedDeparture } from '../groups/departures.ts'
 import { waitFor } from '../runtime/wait-at-most.ts'
 import { ensureNotReplaced } from './check-leadership.ts'
 import type { ControlCommand } from './control-connections.ts'
@@ -78,8 +78,9 @@
   const { host, group } = attempt
   const { endpoint, address, logEnd } = departure
   const nowMs = host.clock.readNow()
-  const isLongMissing = group.departures.some(d => formatStart(d) === formatStart(departure) && nowMs - d.noticedAtMs >= LONG_MISSING_MS)
-  const isProven = isAddressReused(error) || departure.isDraining === true
+  const own = group.departures.find(d => formatStart(d) === formatStart(departure))
+  const isLongMissing = own !== undefined && nowMs - own.noticedAtMs >= LONG_MISSING_MS
+  const isProven = isAddressReused(error) || (own !== undefined && hasShutDown(own, nowMs))
   const isGone = isProven || isRefused(error) || isLongMissing || departure.isGone === true
   if (isGone) recordGone(group.departures, departure, nowMs, !isProven)
   const inputs = { isProven, hasEveryVm: known.hasEveryVm, lastLossAgeMs: Math.round(nowMs - known.lastLossAtMs), logEnd, reason: describeError(error) }
--- a/packages/gateway/src/failover/recorded-starts.ts
+++ b/packages/gateway/src/failover/recorded-starts.ts
@@ -1,7 +1,7 @@
 import { comparePositions, type LogPosition } from '@camphorpitch/wire'
 import { z } from 'zod'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { formatStart, type Departure, type EndpointStart } from '../groups/departures.ts'
+import { formatStart, hasShutDown, type Departure, type EndpointStart } from '../groups/departures.ts'
 
 /**
  * A start that is only presumed to have ended stays on record for this long, as a missing VM does: regions lose each other for minutes, and
@@ -55,8 +55,9 @@
 }
 
 /** Whether a start has ended, and may be forgotten once a registered replica's log reaches its log end. */
-export function isEndSettled ({ isGone, isPresumed, isDraining, logEnd, noticedAtMs }: Departure, nowMs: number): boolean {
-  const isProven = isPresumed !== true || isDraining === true
+export function isEndSettled (departure: Departure, nowMs: number): boolean {
+  const { isGone, isPresumed, logEnd, noticedAtMs } = departure
+  const isProven = isPresumed !== true || hasShutDown(departure, nowMs)
   return isGone === true && logEnd !== null && (isProven || nowMs - noticedAtMs >= PRESUMED_END_KEPT_MS)
 }
 
--- a/packages/gateway/src/groups/departures.ts
+++ b/packages/gateway/src/groups/departures.ts
@@ -9,6 +9,12 @@
 /** An endpoint that runs registers again within seconds; one that neither has an entry nor responds for this long has ended. */
 export const LONG_MISSING_MS = 10_000
 
+/**
+ * An endpoint that has announced its shutdown has ended this long after its departure: it serves for the drain time and at times many
+ * seconds more, and receives meanwhile, also if it has lost the store and thus its entry.
+ */
+export const SHUTDOWN_MS = 30_000
+
 /** An endpoint that was removed from the directory, or that started again without its log. */
 export interface Departure {
   endpoint: string
@@ -103,6 +109,11 @@
   return true
 }
 
+/** Whether an endpoint that had announced its shutdown has ended by now. */
+export function hasShutDown ({ isDraining, noticedAtMs }: Departure, nowMs: number): boolean {
+  return isDraining === true && nowMs - noticedAtMs >= SHUTDOWN_MS
+}
+
 /** Merges what two VMs know of a departure; `reported` is of the VM that does not promote. */
 export function mergeDepartures (known: ReportedDeparture | undefined, reported: ReportedDeparture): ReportedDeparture {
   const both = known === undefined ? [reported] : [known, reported]
@@ -120,12 +131,11 @@
 
 /**
  * Records the end of the primary's log in its response to a statement that was sent at `sentAtMs`. It says nothing of an endpoint whose entry
- * has lapsed and that may still receive later commits, unless it had announced its shutdown.
+ * has lapsed and that may still receive later commits, as one that shuts down does until it has ended.
  */
 export function recordLogEnd (departures: readonly Departure[], position: LogPosition, sentAtMs: number): void {
   for (const departure of departures) {
-    const hasEnded = departure.isGone === true || departure.isDraining === true
-    if (hasEnded && departure.logEnd === null && sentAtMs >= departure.noticedAtMs) departure.logEnd = position
+    if (departure.isGone === true && departure.logEnd === null && sentAtMs >= departure.noticedAtMs) departure.logEnd = position
   }
 }
 
