Take an end that an earlier build reports for presumed

Cause: whether an end is proven was told by the absence of `isPresumed`, and builds before never send it. An end that another VM presumes also stayed presumed on a VM that has a later start registered, which proves it.

Evidence: the two new tests of group-reports.test.ts fail without the change.

VMs now say `isPresumed: false` for a proven end; without it, an end that is reported counts as presumed. A registered later start proves it.

--- a/packages/gateway/src/fleet/group-reports.test.ts
+++ b/packages/gateway/src/fleet/group-reports.test.ts
@@ -5,7 +5,7 @@
 import { ServiceGroup } from '../groups/service-group.ts'
 import { VirtualClock } from '../testing/virtual-clock.ts'
 import { applyGroupReport, createGroupReport } from './group-reports.ts'
-import { decodeGroupReport, encodeGroupReport } from './message-schemas.ts'
+import { decodeGroupReport, encodeGroupReport, revokedSchema } from './message-schemas.ts'
 
 class NoConnector extends EndpointConnector {
   override async connect (): Promise<EndpointConnection> { return await new Promise(() => {}) }
@@ -21,6 +21,30 @@
   if (report !== undefined) applyGroupReport(to, 'vm', decodeGroupReport(encodeGroupReport(report)), pollSentAtMs)
 }
 
+// Guards against an end that an earlier build reports without telling whether it is proven, and that is taken for a proven one (LOST).
+describe('departures that another VM reports', () => {
+  const message = { type: 'revoked', service: 's', attempt: 'vm-1-1' }
+
+  function decode (departure: object): boolean | undefined {
+    return revokedSchema.parse({ ...message, departures: [{ endpoint: 'a', startedAtMs: 1, logEnd: null, ...departure }] }).departures[0]!.isPresumed
+  }
+
+  it('have ended for certain only if the sender says so', () => {
+    expect(decode({ isGone: true })).to.equal(true)
+    expect(decode({ isGone: true, isPresumed: true })).to.equal(true)
+    expect(decode({ isGone: true, isPresumed: false })).to.equal(false)
+    expect(decode({})).to.equal(undefined)
+  })
+
+  it('have ended for certain if a later start is registered', () => {
+    const group = createGroup()
+    const entry = { endpoint: 'a', service: 's', address: '127.0.0.1:1', failureDomain: 'north', role: 'replica' as const, isDraining: false, slots: 3, warmupLeftMs: 0 }
+    group.updateEntry({ ...entry, startedAtMs: 2 })
+    group.addReportedDeparture({ endpoint: 'a', startedAtMs: 1, isGone: true, isPresumed: true })
+    expect(group.departures[0]).to.deep.include({ isGone: true, isPresumed: false })
+  })
+})
+
 describe('group reports', () => {
   it('carry the primary, the proof of its leadership and the acknowledged position', () => {
     const [reporter, receiver] = [createGroup(), createGroup()]
--- a/packages/gateway/src/fleet/message-schemas.ts
+++ b/packages/gateway/src/fleet/message-schemas.ts
@@ -82,6 +82,21 @@
 })
 export type EvacuationReport = z.infer<typeof evacuationReportSchema>
 
+/** An endpoint that has left its group, as VMs tell each other. */
+const departureSchema = z.object({
+  endpoint: z.string(),
+  startedAtMs: z.number(),
+  address: z.string().optional(),
+  isDraining: z.boolean().optional(),
+  isGone: z.boolean().optional(),
+  isPresumed: z.boolean().optional()
+})
+
+/** Has an end count as presumed unless the sender says that it is proven: earlier builds don't distinguish the two. */
+function decodeDeparture<T extends { isGone?: boolean, isPresumed?: boolean }> (departure: T): T {
+  return departure.isGone === true ? { ...departure, isPresumed: departure.isPresumed !== false } : departure
+}
+
 /** Response to a poll. */
 export const reportSchema = z.object({
   type: z.literal('report'),
@@ -91,15 +106,7 @@
   demand: z.array(z.tuple([z.string(), z.number()])),
   configurationVersion: z.number().int(),
   /** Endpoints that have left their groups, and whose commits the remaining ones may not hold yet; absent if there are none. */
-  departures: z.array(z.object({
-    service: z.string(),
-    endpoint: z.string(),
-    startedAtMs: z.number(),
-    address: z.string().optional(),
-    isDraining: z.boolean().optional(),
-    isGone: z.boolean().optional(),
-    isPresumed: z.boolean().optional()
-  })).optional(),
+  departures: z.array(departureSchema.extend({ service: z.string() }).transform(decodeDeparture)).optional(),
   /** Reads per second that the sender's clients request, by service; absent without the setting `leaving`. */
   reads: z.array(z.tuple([z.string(), z.number().nonnegative()])).optional(),
   /** Absent while the sender has known of no evacuation. */
@@ -157,15 +164,7 @@
   /** The group's endpoints that the sender knows. */
   endpoints: z.array(z.object({ endpoint: z.string(), startedAtMs: z.number() })).default([]),
   /** Endpoints that the sender has seen leave the group or restart without their logs. */
-  departures: z.array(z.object({
-    endpoint: z.string(),
-    startedAtMs: z.number(),
-    logEnd: logPositionSchema.nullable(),
-    address: z.string().optional(),
-    isDraining: z.boolean().optional(),
-    isGone: z.boolean().optional(),
-    isPresumed: z.boolean().optional()
-  })).default([]),
+  departures: z.array(departureSchema.extend({ logEnd: logPositionSchema.nullable() }).transform(decodeDeparture)).default([]),
   /** Age of the sender's latest acknowledged commit; absent without one. */
   lastCommitAgeMs: z.number().optional(),
   /** Time since the sender's start. */
--- a/packages/gateway/src/groups/service-group.ts
+++ b/packages/gateway/src/groups/service-group.ts
@@ -223,7 +223,7 @@
 
   /** Records that an endpoint has started; `previous` is the pool of its earlier start, if that was registered. */
   #recordStart (previous: EndpointPool | undefined): void {
-    if (previous !== undefined) this.#addDeparture({ ...describeDeparted(previous), isGone: true })
+    if (previous !== undefined) this.#addDeparture({ ...describeDeparted(previous), isGone: true, isPresumed: false })
     this.state.replicaStartNoticedAtMs = this.#options.clock.readNow()
     this.#options.handleStart?.(this)
   }
@@ -240,7 +240,9 @@
   addReportedDeparture (departed: DepartedEndpoint): void {
     if (departed.isGone === true) this.#options.warmup?.recordReportedEnd(departed.endpoint, departed.startedAtMs)
     const isKnown = [...[...this.pools.values()].map(p => p.entry), ...this.departures].some(e => formatStart(e) === formatStart(departed))
-    if (!isKnown) this.#addDeparture({ ...departed, isGone: departed.isGone === true || this.pools.has(departed.endpoint) })
+    if (isKnown) return
+    const hasStartedAgain = this.pools.has(departed.endpoint)
+    this.#addDeparture({ ...departed, isGone: departed.isGone === true || hasStartedAgain, isPresumed: !hasStartedAgain && departed.isPresumed === true })
   }
 
   /** Records the end of the primary's log in its response to a status request that was sent at `sentAtMs`. */
