Share the comparison of start records among VMs that start together

Cause: ranks count the VMs that have answered a poll.

The comparison now uses ranks among all listed VMs that are not known to be unresponsive, and waits for that list. The new test, in which twelve VMs start at once, allows three reads. A promotion reads the record in any case.

--- a/packages/gateway/src/failover/start-record.test.ts
+++ b/packages/gateway/src/failover/start-record.test.ts
@@ -126,6 +126,28 @@
     expect(listRecorded()).to.deep.equal(['a', 'b', 'p'])
   })
 
+  // Guards against VMs that all read every record when they start together, which the store refuses in a large fleet.
+  it('is read by three VMs at most when many start together', async () => {
+    const vms = Array.from({ length: 12 }, (_, i) => fleet.startVm(`vm${i}`))
+    const reads: string[] = []
+    for (const vm of vms) vm.handleStoreRead = name => reads.push(`${vm.name} ${name}`)
+    for (const vm of vms) vm.addEndpoints()
+    await fleet.advance(RECORDED_AFTER_MS)
+    expect(listRecorded()).to.deep.equal(['a', 'b', 'p'])
+    expect(reads.filter(r => r.endsWith('groups/s'))).to.have.length.within(1, 3)
+  })
+
+  it('is not read by a VM that has no list of the VMs, until it has one', async () => {
+    const vm = fleet.startVm('vm1')
+    vm.members.hasMemberList = false
+    vm.addEndpoints()
+    await fleet.advance(RECORDED_AFTER_MS)
+    expect(fleet.store.state.objects.has('groups/s')).to.equal(false)
+    vm.members.hasMemberList = true
+    await fleet.advance(RECORDED_AFTER_MS)
+    expect(listRecorded()).to.deep.equal(['a', 'b', 'p'])
+  })
+
   it('is written again if it can not be read', async () => {
     fleet.store.state.replace('groups', 's', { starts: 'none' })
     fleet.startVm('vm1').addEndpoints()
--- a/packages/gateway/src/failover/start-record.ts
+++ b/packages/gateway/src/failover/start-record.ts
@@ -1,6 +1,6 @@
 import { describeError, type Clock, type Logger, type LogPosition } from '@camphorpitch/wire'
 import type { EndpointEntry } from '../directory/endpoint-entry.ts'
-import { computeRank, type MemberState } from '../fleet/members.ts'
+import { computePresentRank, type MemberState } from '../fleet/members.ts'
 import { formatStart, LONG_MISSING_MS, recordGone, recordRunning, type Departure } from '../groups/departures.ts'
 import type { ServiceGroup } from '../groups/service-group.ts'
 import { RevisionConflictError } from '../metadata/errors.ts'
@@ -10,7 +10,7 @@
 import { hasSameStarts, isEndSettled, mergeRecordedStarts, startRecordSchema, type RecordedStart } from './recorded-starts.ts'
 
 /** Time from a change of a group to the comparison with its record. An entry lapses only after three ping intervals. */
-const COMPARE_DELAY_MS = 500
+const COMPARE_DELAY_MS = 1_000
 /** Time until the record is compared again after a failure, or while a start on it is not registered. */
 const COMPARE_AGAIN_MS = 2_000
 /** Number of VMs that write the record, those of the lowest ranks. Each acts this much later than the one before it. */
@@ -52,14 +52,13 @@
   schedule (group: ServiceGroup, delayMs = COMPARE_DELAY_MS): void {
     this.#groups.add(group)
     if (this.#timers.has(group)) return
-    const rank = computeRank(this.#options.members, group.service, this.#options.clock.readNow())
     const timer = setTimeout(() => {
       this.#timers.delete(group)
       this.#compare(group).catch((error: unknown) => {
         this.#options.logger.warn('record of endpoint starts not written', { service: group.service, reason: describeError(error) })
         this.schedule(group, COMPARE_AGAIN_MS)
       })
-    }, delayMs + Math.min(rank, MAX_RECORDING_VMS) * RANK_DELAY_MS)
+    }, delayMs + Math.min(this.#computeRank(group), MAX_RECORDING_VMS) * RANK_DELAY_MS)
     timer.unref()
     this.#timers.set(group, timer)
   }
@@ -97,7 +96,11 @@
   async #compare (group: ServiceGroup): Promise<void> {
     const { service } = group
     const { store, members, clock, logger } = this.#options
-    if (computeRank(members, service, clock.readNow()) >= MAX_RECORDING_VMS) return
+    if (!members.hasMemberList) {
+      this.schedule(group, COMPARE_AGAIN_MS)
+      return
+    }
+    if (this.#computeRank(group) >= MAX_RECORDING_VMS) return
     await this.#probeDeparted(group)
     const received = await this.#readReceived(group)
     const merge = (recorded: readonly RecordedStart[] | null): RecordedStart[] => (
@@ -115,6 +118,10 @@
     if (this.#recorded.get(service)?.some(s => !registered.has(formatStart(s))) === true) this.schedule(group, COMPARE_AGAIN_MS)
   }
 
+  #computeRank ({ service }: ServiceGroup): number {
+    return computePresentRank(this.#options.members, service, this.#options.clock.readNow())
+  }
+
   /** Whether the record, as far as this VM knows it, has the starts that it should have. */
   #isCurrent ({ service }: ServiceGroup, merge: (recorded: readonly RecordedStart[]) => RecordedStart[]): boolean {
     const recorded = this.#recorded.get(service)
--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -259,9 +259,23 @@
  * @param maxAgeMs only VMs that have answered a poll within this time count; all that are responsive by default
  */
 export function computeRank (state: MemberState, service: string, nowMs: number, maxAgeMs = Infinity): number {
+  return countLowerHashes(state, service, listResponsive(state, nowMs).filter(m => nowMs - m.lastAnsweredPollSentAtMs <= maxAgeMs))
+}
+
+/**
+ * Computes the rank among the VMs that are not known to be unresponsive. Right after a start, when none has answered a poll yet, the VMs
+ * share work by it that each of them would do otherwise.
+ *
+ * @returns `Infinity` while the VMs have not been listed
+ * @example computePresentRank(state, 'orders', clock.readNow()) // 0 on one of the VMs
+ */
+export function computePresentRank (state: MemberState, service: string, nowMs: number): number {
+  return state.hasMemberList ? countLowerHashes(state, service, listPresent(state, nowMs)) : Infinity
+}
+
+function countLowerHashes ({ self }: MemberState, service: string, counted: readonly Member[]): number {
   const serviceHash = hashName(service)
-  const localHash = hashPair(serviceHash, hashName(state.self.vm))
-  const counted = listResponsive(state, nowMs).filter(m => nowMs - m.lastAnsweredPollSentAtMs <= maxAgeMs)
+  const localHash = hashPair(serviceHash, hashName(self.vm))
   return counted.filter(m => hashPair(serviceHash, hashName(m.entry.vm)) < localHash).length
 }
 
--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -126,6 +126,8 @@
   /** Whether the store has the entries of all endpoints that run, as far as this VM knows. */
   hasEveryEntry = true
   readonly process: SimulatedProcess
+  /** Called for each object that this VM reads in the store. */
+  handleStoreRead: (name: string) => void = () => {}
   /** Times of a store call of this VM. */
   drawStoreDelays: () => StoreDelays = () => [0, 0]
   /** Time until a connection to the platform is open. */
@@ -161,6 +163,7 @@
     this.#store = new SimulatedStore(fleet.store.state, {
       canReach: () => this.isRunning && this.isStoreReachable,
       drawDelays: () => this.drawStoreDelays(),
+      handleRead: name => this.handleStoreRead(name),
       listRegistered: () => fleet.group.listRegistered(),
       time,
       process: this.process
@@ -173,10 +176,9 @@
     const promoter = new SimulatedPromoter(fleet, this)
     this.#verifier = new LeadershipVerifier({ clock: time, logger: logger.child({ vm: name }), control })
     this.context = this.#createContext(this.#verifier)
-    const fetchEndpoints = async (): Promise<boolean> => await this.#fetchEndpoints()
     const callbacks = this.#handler.createPromotionCallbacks()
-    const readStarts: PromotionHost['readStarts'] = async group => await startRecord.read(group)
-    this.#host = { clock: time, waitClock: time, logger: vmLogger, vm: name, control, claims, promoter, fetchEndpoints, readStarts, ...callbacks }
+    const reads = { fetchEndpoints: async () => await this.#fetchEndpoints(), readStarts: async (group: ServiceGroup) => await startRecord.read(group) }
+    this.#host = { clock: time, waitClock: time, logger: vmLogger, vm: name, control, claims, promoter, ...reads, ...callbacks }
   }
 
   /** Registers endpoints in this VM's view; all of the group by default. */
@@ -351,6 +353,7 @@
 interface SimulatedStoreOptions {
   canReach: () => boolean
   drawDelays: () => StoreDelays
+  handleRead: (name: string) => void
   /** Lists the endpoints' entries that the store has. */
   listRegistered: () => EndpointEntry[]
   time: VirtualTime
@@ -367,6 +370,7 @@
   }
 
   override async find (kind: WritableKind, name: string): Promise<StoredObject<unknown> | undefined> {
+    this.#options.handleRead(`${kind}/${name}`)
     return await this.#exchange(kind, async () => await super.find(kind, name))
   }
 
