--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -35,7 +35,6 @@
 
 const MESSAGE_DELAY_MS = 3
 const MAX_OPEN_CONNECTIONS = 1_000
-/** Times of a call for the record of endpoint starts. */
 const RECORD_CALL_MS: StoreDelays = [2, 2]
 const STATEMENT_TIMEOUT_MS = 2_000
 const ROUTE: Route = { name: 'r', database: 'd', service: 's', consistency: 'primary', statementTimeoutMs: STATEMENT_TIMEOUT_MS, objectiveMs: 400, priority: 1, maxStalenessMs: 0, isPublic: false }
