--- a/packages/gateway/src/testing/simulated-vm.ts
+++ b/packages/gateway/src/testing/simulated-vm.ts
@@ -154,10 +154,7 @@
     const control = new ControlConnections(this.connector)
     const departureInquiries = new DepartureInquiries({ clock: time, logger: logger.child({ vm: name }), control, members: this.members })
     const handleStart = (group: ServiceGroup): void => startRecord.schedule(group)
-    const handleDeparture = (group: ServiceGroup): void => {
-      departureInquiries.schedule(group)
-      startRecord.schedule(group)
-    }
+    const handleDeparture = (group: ServiceGroup): void => [departureInquiries, startRecord].forEach(keeper => keeper.schedule(group))
     this.group = new ServiceGroup({ service: 's', listEvacuations: () => this.evacuations, handleStart, handleDeparture, handlePrimaryDoubt: () => this.findPrimary(), connector: new SimulatedStatementConnector(fleet.group, this), clock: time, logger: logger.child({ vm: name }), readLimits: () => ({ retainedConnections: 0, maxOpenConnections: MAX_OPEN_CONNECTIONS }), recordOpened: () => {} })
     this.#store = new SimulatedStore(fleet.store.state, {
       canReach: () => this.isRunning && this.isStoreReachable,
